--- /dev/null
+++ b/Makefile
@@ -0,0 +1,67 @@
+# lagoonvale: build, demo, tests, checks.
+
+PACKAGES = libtalloc-dev libtevent-dev libtirpc-dev libmicrohttpd-dev \
+  libcurl4-openssl-dev libargtable2-dev liblog4c-dev liburcu-dev \
+  libgtest-dev libjson-c-dev libgsl-dev libxxhash-dev uthash-dev \
+  pkg-config python3 gcc g++ make
+CHECK_PACKAGES = clang-format clang-tidy cppcheck
+
+CC = gcc
+CXX = g++
+B ?= build
+SAN ?=
+PKGS = talloc tevent libtirpc libmicrohttpd libcurl argtable2 log4c \
+  liburcu-bp liburcu-cds json-c gsl libxxhash
+CFLAGS ?= -O2 -g
+WARN = -Wall -Wextra -Wno-unused-parameter -Wshadow -Wstrict-prototypes
+PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
+PKG_LIBS = $(shell pkg-config --libs $(PKGS))
+ALL_CFLAGS = -std=gnu11 $(CFLAGS) $(SAN) $(WARN) -D_GNU_SOURCE -Iinclude \
+  -Isrc $(PKG_CFLAGS) -MMD -MP -pthread
+ALL_CXXFLAGS = -std=c++17 $(CFLAGS) $(SAN) -Wall -Iinclude -Isrc \
+  $(PKG_CFLAGS) -MMD -MP -pthread
+LIBS = $(PKG_LIBS) -lm -pthread
+
+LIB_SRC = $(wildcard src/*.c)
+LIB_OBJ = $(LIB_SRC:%.c=$(B)/%.o)
+PROGRAMS = $(B)/lagoonvale-entry $(B)/lagoonvale-agent $(B)/lagoonvale \
+  $(B)/lagoonvale-load
+UNIT_SRC = $(wildcard tests/unit/*.cc)
+UNIT_OBJ = $(UNIT_SRC:%.cc=$(B)/%.o)
+
+.PHONY: all deps check-deps demo demo-up demo-down check unit process lint \
+  format bench install clean
+
+all: $(PROGRAMS) $(B)/example-queue
+
+$(B)/liblagoonvale.a: $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(B)/src/lvproto_xdr.o: WARN = -w
+
+$(B)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) -c -o $@ $<
+
+$(B)/%.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) $(ALL_CXXFLAGS) -c -o $@ $<
+
+$(B)/lagoonvale-entry: $(B)/daemons/entry_main.o $(B)/liblagoonvale.a
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
+$(B)/lagoonvale-agent: $(B)/daemons/agent_main.o $(B)/liblagoonvale.a
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
+$(B)/lagoonvale: $(B)/cli/main.o $(B)/liblagoonvale.a
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
+$(B)/lagoonvale-load: $(B)/tools/load.o $(B)/liblagoonvale.a
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
+$(B)/example-queue: $(B)/examples/queue.o $(B)/liblagoonvale.a
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
+$(B)/unit: $(UNIT_OBJ) $(B)/liblagoonvale.a
+	$(CXX) $(SAN) -o $@ $^ -lgtest -lgtest_main $(LIBS)
+
+clean:
+	rm -rf build build-asan build-tsan
+
+-include $(shell find $(B) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/daemons/entry_main.c
@@ -0,0 +1,50 @@
+/**
+ * DOC: lagoonvale-entry
+ *
+ * Thin main of the entry: arguments, settings, signals, loop.
+ */
+#include <signal.h>
+#include <stdlib.h>
+#include <talloc.h>
+
+#include "daemon.h"
+#include "entry.h"
+#include "logline.h"
+
+static void
+on_term (struct tevent_context *ev, struct tevent_signal *se, int number,
+         int count, void *info, void *priv)
+{
+  (void)ev;
+  (void)se;
+  (void)number;
+  (void)count;
+  (void)info;
+  ent_leave (priv);
+}
+
+int
+main (int argc, char **argv)
+{
+  static struct ent_entry entry;
+  struct ent_settings settings = { 0 };
+  struct err_error err;
+  struct tevent_context *ev = tevent_context_init (NULL);
+  int rc = dmn_settings (argc, argv, "lagoonvale-entry", ev, ent_keys,
+                         &settings);
+
+  if (rc >= 0)
+    return rc;
+  if (log_init ("entry", settings.name, settings.log_level) != 0)
+    return dmn_bad_level (settings.log_level);
+  if (ent_start (&entry, ev, &settings, &err) != 0)
+    return dmn_fail (&err);
+  tevent_add_signal (ev, ev, SIGTERM, 0, on_term, &entry);
+  tevent_add_signal (ev, ev, SIGINT, 0, on_term, &entry);
+  while (!ent_done (&entry))
+    tevent_loop_once (ev);
+  ent_finish (&entry);
+  log_line (LOGL_INFO, "stopped", "why=left");
+  log_flush ();
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/include/lagoonvale/counter.h
@@ -0,0 +1,71 @@
+/**
+ * DOC: counter
+ *
+ * Metric counters.  Each thread adds to its own cache line with relaxed
+ * atomics; a reader sums over the threads.  The output is the plain text
+ * exposition format that dashboards read.
+ */
+#ifndef LV_COUNTER_H
+#define LV_COUNTER_H
+
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/** Threads that are told apart; further ones share the last row. */
+#define CTR_THREADS 16
+/** Counters that one set can hold. */
+#define CTR_MAX 64
+
+/**
+ * struct ctr_desc - what a counter is
+ * @name: full metric name, with its unit as suffix
+ * @help: one line
+ * @gauge: true if the value can fall
+ */
+struct ctr_desc
+{
+  const char *name;
+  const char *help;
+  bool gauge;
+};
+
+struct ctr_row
+{
+  _Alignas (64) _Atomic uint64_t value[CTR_MAX];
+};
+
+/**
+ * struct ctr_set - counters of one daemon
+ * @descs: their descriptions, @count of them
+ */
+struct ctr_set
+{
+  const struct ctr_desc *descs;
+  unsigned count;
+  struct ctr_row rows[CTR_THREADS];
+};
+
+/** ctr_init() - clear @set and give it its descriptions. */
+void ctr_init (struct ctr_set *set, const struct ctr_desc *descs,
+               unsigned count);
+
+/** ctr_add() - add @n to counter @id, from any thread. */
+void ctr_add (struct ctr_set *set, unsigned id, uint64_t n);
+
+/** ctr_set_gauge() - store the value of gauge @id. */
+void ctr_set_gauge (struct ctr_set *set, unsigned id, uint64_t value);
+
+/** ctr_read() - sum of counter @id over all threads. */
+uint64_t ctr_read (const struct ctr_set *set, unsigned id);
+
+/**
+ * ctr_text() - the exposition text of the whole set
+ * @mem_ctx: talloc parent of the result
+ * @set: counters
+ *
+ * Return: a talloc string, or NULL without memory.
+ */
+char *ctr_text (void *mem_ctx, const struct ctr_set *set);
+
+#endif
--- /dev/null
+++ b/include/lagoonvale/queue.h
@@ -0,0 +1,145 @@
+/**
+ * DOC: queue
+ *
+ * The queue of an entry.  Tasks wait in flows, one per (team, urgency, kind).
+ * Flows share the slots by weighted virtual time; among flows that are within
+ * their share the most urgent goes first, so that no flood, however urgent,
+ * takes more than its share from the rest.  Within a flow, tasks are ordered
+ * by an order policy (arrival, shortest, or response ratio).  Pure.
+ *
+ * A job's tasks get arrival stamps that spread with their position in the job,
+ * so that one large job does not block later small ones of its team.
+ */
+#ifndef LV_QUEUE_H
+#define LV_QUEUE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "lagoonvale/slice.h"
+
+/** enum que_urgency - most urgent first */
+enum que_urgency
+{
+  QUE_URGENT,
+  QUE_NORMAL,
+  QUE_BULK,
+};
+/** Count of urgencies. */
+#define QUE_URGENCIES 3
+/** Estimate buckets in a flow, half octaves from 2^22 ns (4 ms). */
+#define QUE_BUCKETS 24
+
+struct que_flow;
+struct que_queue;
+
+/**
+ * struct que_item - a waiting task; embed it, zeroed
+ * @flow: flow it waits in, NULL when it waits nowhere
+ * @stamp_ns: arrival, spread by its position in the job
+ * @estimate_ns: expected run time
+ * @bucket: by estimate
+ * @place: position in the bucket's heap
+ */
+struct que_item
+{
+  struct que_flow *flow;
+  uint64_t stamp_ns;
+  uint64_t estimate_ns;
+  unsigned bucket;
+  unsigned place;
+};
+
+/**
+ * struct que_order - how a flow chooses among its buckets' first items
+ * @name: as in the settings
+ * @score: the item with the highest score goes first
+ */
+struct que_order
+{
+  const char *name;
+  double (*score) (const struct que_item *item, uint64_t now_ns);
+};
+
+/** que_order_find() - "arrival", "shortest" or "ratio"; NULL if unknown. */
+const struct que_order *que_order_find (const char *name);
+
+/**
+ * struct que_queue - caller-owned
+ * @mem_ctx: talloc parent
+ * @order: order within a flow
+ * @count: tasks that wait
+ * @work_ns: sum of their estimates
+ * @virtual_ns: virtual time of the system
+ * @weight_of: configured weight of a (team, urgency); NULL for 1 each
+ * @weight_priv: passed to @weight_of
+ */
+struct que_queue
+{
+  void *mem_ctx;
+  const struct que_order *order;
+  struct que_flow *flows;
+  struct que_flow *backlogged;
+  size_t count;
+  uint64_t work_ns;
+  double virtual_ns;
+  size_t urgency_count[QUE_URGENCIES];
+  double (*weight_of) (void *priv, struct lv_slice team, enum que_urgency u);
+  void *weight_priv;
+};
+
+/** que_init() - empty queue. */
+void que_init (struct que_queue *q, void *mem_ctx,
+               const struct que_order *order);
+
+/** que_finish() - free the flows; waiting items are the caller's. */
+void que_finish (struct que_queue *q);
+
+/**
+ * que_push() - add a task
+ * @spread_ns: distance of its stamp from its job's arrival
+ *
+ * Return: 0 or -ENOMEM.
+ */
+int que_push (struct que_queue *q, struct que_item *item, struct lv_slice team,
+              enum que_urgency urgency, struct lv_slice kind,
+              uint64_t estimate_ns, uint64_t spread_ns, uint64_t now_ns);
+
+/** que_remove() - take a waiting task out, wherever it is. */
+void que_remove (struct que_queue *q, struct que_item *item);
+
+/**
+ * que_peek() - the task that goes next, left in place
+ * @blocked: flows for which it returns true are passed over; may be NULL
+ */
+struct que_item *que_peek (struct que_queue *q, uint64_t now_ns,
+                           bool (*blocked) (void *priv, struct lv_slice team,
+                                            struct lv_slice kind),
+                           void *priv);
+
+/** que_take() - remove a peeked task and charge its flow for the estimate. */
+void que_take (struct que_queue *q, struct que_item *item);
+
+/**
+ * que_correct() - a task ran for @actual_ns where @estimate_ns was charged
+ */
+void que_correct (struct que_queue *q, struct lv_slice team,
+                  enum que_urgency urgency, struct lv_slice kind,
+                  uint64_t estimate_ns, uint64_t actual_ns);
+
+/**
+ * que_wait_ns() - expected wait of a new task of this flow
+ * @slots: slots that this queue can count on
+ */
+uint64_t que_wait_ns (const struct que_queue *q, struct lv_slice team,
+                      enum que_urgency urgency, struct lv_slice kind,
+                      double slots);
+
+/** que_team_count() - tasks of @team that wait. */
+size_t que_team_count (const struct que_queue *q, struct lv_slice team);
+
+/** que_most_urgent() - urgency of the most urgent waiting task. */
+enum que_urgency que_most_urgent (const struct que_queue *q);
+
+#endif
--- /dev/null
+++ b/src/adopt.c
@@ -0,0 +1,81 @@
+#include "lagoonvale/adopt.h"
+
+#include <string.h>
+
+void
+adp_init (struct adp_adoption *a, struct adp_agent *agents, uint32_t count,
+          const struct led_holder *self)
+{
+  memset (a, 0, sizeof *a);
+  a->agent = agents;
+  a->count = count;
+  a->self = *self;
+}
+
+void
+adp_fenced (struct adp_adoption *a, uint32_t i)
+{
+  a->agent[i].state = ADP_FENCED;
+}
+
+void
+adp_held (struct adp_adoption *a, uint32_t i, const struct led_holder *rival)
+{
+  a->agent[i].state = ADP_HELD;
+  if (rival->ballot > a->rival.ballot)
+    a->rival = *rival;
+}
+
+void
+adp_gone (struct adp_adoption *a, uint32_t i)
+{
+  a->agent[i].state = ADP_GONE;
+}
+
+static uint32_t
+count_state (const struct adp_adoption *a, enum adp_state state)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < a->count; i++)
+    n += a->agent[i].state == state;
+  return n;
+}
+
+static void
+reset_held (struct adp_adoption *a)
+{
+  for (uint32_t i = 0; i < a->count; i++)
+    if (a->agent[i].state == ADP_HELD)
+      a->agent[i].state = ADP_PENDING;
+}
+
+enum adp_next
+adp_next (struct adp_adoption *a)
+{
+  uint32_t held = count_state (a, ADP_HELD);
+  /* A rival that holds every agent has finished; do not take over from it
+     unless it proves unreachable (adp_overrule).  */
+  bool rival_done = held == a->count && !a->pressing;
+
+  if (count_state (a, ADP_GONE) > 0)
+    return ADP_UNCERTAIN;
+  if (count_state (a, ADP_PENDING) > 0)
+    return ADP_WAIT;
+  if (held == 0)
+    return ADP_GO;
+  if (a->rival.ballot > a->self.ballot || rival_done)
+    return ADP_YIELD;
+  a->pressing = true;
+  reset_held (a);
+  return ADP_PRESS;
+}
+
+void
+adp_overrule (struct adp_adoption *a, uint64_t ballot)
+{
+  a->self.ballot = ballot;
+  a->pressing = true;
+  for (uint32_t i = 0; i < a->count; i++)
+    a->agent[i].state = ADP_PENDING;
+}
--- /dev/null
+++ b/src/agent.h
@@ -0,0 +1,234 @@
+/**
+ * DOC: agent
+ *
+ * The process beside each minion.  It owns the minion's slots, announces the
+ * minion, and decides each start with its ledger.
+ *
+ *   agent.c          life of the process: ticks, leaving, wiring
+ *   agent_session.c  connections from entries and their calls
+ *   agent_run.c      tasks that run, and who waits for them
+ *   agent_member.c   the membership stream
+ *   agent_target.c   the kinds of target, behind a table of functions
+ */
+#ifndef LV_AGENT_H
+#define LV_AGENT_H
+
+#include <tevent.h>
+
+#include "http_client.h"
+#include "lagoonvale/grant.h"
+#include "lagoonvale/keybind.h"
+#include "lagoonvale/ledger.h"
+#include "lagoonvale/roster.h"
+#include "logtail.h"
+#include "lvproto.h"
+#include "onc.h"
+#include "settings.h"
+#include "webstat.h"
+
+/** A longer gap between two ticks means that the process did not run, ns. */
+#define AGT_PAUSE_NS 1000000000ULL
+
+/** struct agt_settings - settings file of an agent; agt_keys documents it. */
+struct agt_settings
+{
+  char *name;
+  char *domain;
+  char *listen;
+  char *advertise;
+  char *metrics;
+  char *log_url;
+  char *log_level;
+  char *target_kind;
+  char *target_url;
+  uint64_t slots;
+  uint64_t ahead;
+  uint64_t connections;
+  uint64_t window_s;
+  uint64_t ledger_bytes;
+  uint64_t output_keep_s;
+  uint64_t silent_ms;
+  uint64_t task_limit_ms;
+  uint64_t refresh_s;
+};
+
+extern const struct set_key agt_keys[];
+
+/** enum agt_counter - the agent's metrics, described in agent.c. */
+enum agt_counter
+{
+  AGT_STARTS,
+  AGT_ENDED_OK,
+  AGT_ENDED_FAILED,
+  AGT_LOST,
+  AGT_REFUSED,
+  AGT_FENCED,
+  AGT_REVOKED,
+  AGT_DUPLICATES,
+  AGT_SESSIONS,
+  AGT_SESSIONS_DROPPED,
+  AGT_PAUSES,
+  AGT_RUNNING,
+  AGT_LEDGER_BYTES,
+  AGT_KEY_BYTES,
+  AGT_RPC_BYTES,
+  AGT_RPC_CALLS,
+  AGT_COUNTERS
+};
+
+struct agt_agent;
+struct agt_run;
+
+/**
+ * struct agt_session - one connection from an entry
+ * @place: in the grants, -1 before HELLO or for peers that get no credits
+ * @incarnation: of the entry
+ * @number: rises with each connection of one incarnation
+ */
+struct agt_session
+{
+  struct agt_agent *agent;
+  struct onc_conn *conn;
+  int place;
+  uint64_t incarnation;
+  uint64_t number;
+  struct agt_session *prev;
+  struct agt_session *next;
+};
+
+/**
+ * struct agt_target_ops - a kind of target
+ * @name: as in the settings
+ * @start: run a task; agt_run_ended() or agt_run_unstarted() follows once
+ * @stop: ask for an early end of a task that runs
+ * @watch: look whether the target itself is leaving; may be NULL
+ */
+struct agt_target_ops
+{
+  const char *name;
+  void (*start) (struct agt_agent *agent, struct agt_run *run);
+  void (*stop) (struct agt_agent *agent, struct agt_run *run);
+  void (*watch) (struct agt_agent *agent);
+};
+
+/** struct agt_waiter - a call that is answered when its task ends. */
+struct agt_waiter
+{
+  struct agt_session *session;
+  uint32_t xid;
+  struct agt_waiter *next;
+};
+
+/**
+ * struct agt_run - a task that has started
+ * @place: of the entry in the grants, whose running task it is
+ * @kind: talloc
+ * @payload: talloc
+ * @request: towards the target, NULL while held back
+ */
+struct agt_run
+{
+  struct sid_id sid;
+  uint32_t index;
+  int place;
+  char *kind;
+  char *payload;
+  size_t payload_len;
+  uint64_t started_ns;
+  struct agt_agent *agent;
+  struct agt_waiter *waiters;
+  struct hcl_request *request;
+  struct agt_run *prev;
+  struct agt_run *next;
+};
+
+struct agt_agent
+{
+  struct agt_settings set;
+  struct tevent_context *ev;
+  uint64_t incarnation;
+  struct ros_member self;
+  struct led_ledger ledger;
+  struct grt_grants grants;
+  struct key_table keys;
+  struct ros_roster roster;
+  struct lgt_tail *members;
+  struct hcl_client *client;
+  const struct agt_target_ops *target;
+  struct agt_session *sessions;
+  struct agt_run *running;
+  struct agt_run *held;
+  uint32_t running_count;
+  uint32_t held_count;
+  bool announced;
+  bool leaving;
+  uint64_t leaving_ns;
+  uint64_t last_tick_ns;
+  uint64_t next_refresh_ns;
+  struct ctr_set counters;
+  struct wst_server web;
+};
+
+/** agt_start() - open everything. Return: 0 or a negative error number. */
+int agt_start (struct agt_agent *a, struct tevent_context *ev,
+               const struct agt_settings *settings, struct err_error *err);
+
+/** agt_leave() - announce, refuse new starts, finish what runs, then stop. */
+void agt_leave (struct agt_agent *a, const char *why);
+
+/** agt_done() - whether a leaving agent has nothing left to do. */
+bool agt_done (const struct agt_agent *a);
+
+/** agt_listen() - accept entries. Return: 0 or a negative error number. */
+int agt_listen (struct agt_agent *a);
+
+/** agt_drop_sessions() - close all sessions, what they hold unread included.
+ */
+void agt_drop_sessions (struct agt_agent *a, const char *why);
+
+/** agt_drop_silent() - close sessions that were silent for too long. */
+void agt_drop_silent (struct agt_agent *a, uint64_t now_ns);
+
+/** agt_grant() - balance the credits and tell the entries. */
+void agt_grant (struct agt_agent *a);
+
+/** agt_run_start() - run a task that the ledger let start. */
+void agt_run_start (struct agt_agent *a, struct agt_session *s, uint32_t xid,
+                    const lvp_start *call);
+
+/** agt_run_find() - the run of this task, or NULL. */
+struct agt_run *agt_run_find (struct agt_agent *a, const struct sid_id *sid,
+                              uint32_t index);
+
+/** agt_run_wait() - answer the call @xid when @run ends. */
+void agt_run_wait (struct agt_run *run, struct agt_session *s, uint32_t xid);
+
+/** agt_run_forget() - @s is gone: answer it no more. */
+void agt_run_forget (struct agt_agent *a, struct agt_session *s);
+
+/** agt_run_ended() - the target reported the end of @run, or went silent. */
+void agt_run_ended (struct agt_run *run, enum led_state state,
+                    struct lv_slice output);
+
+/** agt_run_unstarted() - @run never reached the target. */
+void agt_run_unstarted (struct agt_run *run);
+
+/** agt_run_stop() - a cancellation came for @run. */
+void agt_run_stop (struct agt_run *run);
+
+/** agt_outcome() - message for a task on record. */
+lvp_outcome agt_outcome (const struct led_task *task);
+
+/** agt_member_open() - follow the membership stream and announce. */
+void agt_member_open (struct agt_agent *a);
+
+/** agt_member_tick() - refresh the announcement when due. */
+void agt_member_tick (struct agt_agent *a, uint64_t now_ns);
+
+/** agt_member_leave() - append the end of this member. */
+void agt_member_leave (struct agt_agent *a, const char *why);
+
+/** agt_target_find() - "minion" or "null"; NULL if unknown. */
+const struct agt_target_ops *agt_target_find (const char *kind);
+
+#endif
--- /dev/null
+++ b/src/agent_session.c
@@ -0,0 +1,480 @@
+#include <errno.h>
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+#include <utlist.h>
+
+#include "agent.h"
+#include "clock.h"
+#include "logline.h"
+#include "net.h"
+#include "wire.h"
+
+static void
+send_outcome (struct agt_session *s, uint32_t xid, lvp_status status)
+{
+  lvp_outcome out = { .status = status,
+                      .load = s->agent->running_count + s->agent->held_count };
+
+  onc_reply (s->conn, xid, (xdrproc_t)xdr_lvp_outcome, &out);
+}
+
+static void
+log_refusal (const struct agt_session *s, const lvp_start *call,
+             const char *why)
+{
+  char text[SID_TEXT_MAX];
+  struct sid_id sid = wir_to_sid (&call->sid);
+
+  ctr_add (&s->agent->counters, AGT_REFUSED, 1);
+  if (!log_enabled (LOGL_INFO))
+    return;
+  sid_format (&sid, text);
+  log_line (LOGL_INFO, "refuse",
+            "sid=%s index=%u ballot=%" PRIx64 " why=%s peer=%s", text,
+            call->index, (uint64_t)call->ballot, why, onc_peer (s->conn));
+}
+
+static lvp_status
+refusal_status (int code)
+{
+  switch (code)
+    {
+    case -EACCES:
+      return LVP_FENCED;
+    case -ENOSPC:
+      return LVP_BUSY;
+    default:
+      return LVP_NOT_STARTED;
+    }
+}
+
+/* Too old for the ledger to know its past, by the clock of its owner.  */
+static bool
+is_stale (const struct agt_agent *a, const struct sid_id *sid)
+{
+  return sid->minted_ms + a->set.window_s * 1000 < clk_wall_ms ();
+}
+
+static void
+attach_or_answer (struct agt_session *s, uint32_t xid,
+                  const struct sid_id *sid, const struct led_task *task)
+{
+  struct agt_run *run = agt_run_find (s->agent, sid, task->index);
+  lvp_outcome out;
+
+  if (run != NULL)
+    {
+      agt_run_wait (run, s, xid);
+      return;
+    }
+  out = agt_outcome (task);
+  onc_reply (s->conn, xid, (xdrproc_t)xdr_lvp_outcome, &out);
+}
+
+static void
+admit_start (struct agt_session *s, uint32_t xid, const lvp_start *call)
+{
+  struct agt_agent *a = s->agent;
+  struct sid_id sid = wir_to_sid (&call->sid);
+  const struct led_task *task = NULL;
+  int rc;
+
+  if (call->credited && !grt_spend (&a->grants, (unsigned)s->place))
+    {
+      log_refusal (s, call, "no-credit");
+      send_outcome (s, xid, LVP_BUSY);
+      return;
+    }
+  rc = is_stale (a, &sid) ? -ESTALE
+                          : led_start (&a->ledger, &sid, call->ballot,
+                                       call->index, clk_now (), &task);
+  if (rc == 0)
+    {
+      agt_run_start (a, s, xid, call);
+      return;
+    }
+  if (call->credited)
+    grt_end (&a->grants, (unsigned)s->place);
+  if (rc == -EALREADY)
+    {
+      ctr_add (&a->counters, AGT_DUPLICATES, 1);
+      attach_or_answer (s, xid, &sid, task);
+      return;
+    }
+  if (rc == -EACCES)
+    ctr_add (&a->counters, AGT_FENCED, 1);
+  log_refusal (s, call,
+               rc == -EACCES      ? "fenced"
+               : rc == -ECANCELED ? "tombstone"
+               : rc == -ESTALE    ? "outside-roster-or-window"
+                                  : "ledger-full");
+  send_outcome (s, xid, refusal_status (rc));
+  agt_grant (a);
+}
+
+static void
+on_start (struct agt_session *s, uint32_t xid, XDR *args)
+{
+  lvp_start call;
+
+  if (!WIR_DECODE (lvp_start, args, &call))
+    {
+      onc_close (s->conn, -EBADMSG, "start cannot be decoded");
+      return;
+    }
+  if (s->place < 0)
+    send_outcome (s, xid, LVP_NOT_STARTED);
+  else if (s->agent->leaving)
+    {
+      log_refusal (s, &call, "leaving");
+      send_outcome (s, xid, LVP_LEAVING);
+    }
+  else
+    admit_start (s, xid, &call);
+  WIR_FREE (lvp_start, &call);
+}
+
+static void
+drop_older (struct agt_session *s)
+{
+  struct agt_session *other;
+  struct agt_session *next;
+
+  DL_FOREACH_SAFE (s->agent->sessions, other, next)
+  {
+    if (other != s && other->incarnation == s->incarnation
+        && other->number < s->number)
+      onc_close (other->conn, -ESTALE, "replaced by a newer connection");
+  }
+}
+
+static void
+on_hello (struct agt_session *s, uint32_t xid, XDR *args)
+{
+  struct agt_agent *a = s->agent;
+  lvp_hello call;
+  lvp_hello_res res = { 0 };
+
+  if (!WIR_DECODE (lvp_hello, args, &call))
+    {
+      onc_close (s->conn, -EBADMSG, "hello cannot be decoded");
+      return;
+    }
+  s->incarnation = call.incarnation;
+  s->number = call.session;
+  drop_older (s);
+  if (call.role == LVP_ENTRY && s->place < 0)
+    s->place = grt_join (&a->grants);
+  res.name = a->set.name;
+  res.incarnation = a->incarnation;
+  res.domain = a->set.domain;
+  res.slots = (u_int)a->set.slots;
+  res.joined = a->ledger.joined;
+  res.leaving = a->leaving;
+  onc_reply (s->conn, xid, (xdrproc_t)xdr_lvp_hello_res, &res);
+  log_line (LOGL_INFO, "session", "entry=%s incarnation=%016" PRIx64
+                                  " number=%" PRIu64,
+            call.name, s->incarnation, s->number);
+  WIR_FREE (lvp_hello, &call);
+  agt_grant (a);
+}
+
+static void
+on_beat (struct agt_session *s, uint32_t xid, XDR *args)
+{
+  struct agt_agent *a = s->agent;
+  lvp_beat call;
+  lvp_beat_res res;
+
+  if (!WIR_DECODE (lvp_beat, args, &call))
+    {
+      onc_close (s->conn, -EBADMSG, "beat cannot be decoded");
+      return;
+    }
+  res.running = a->running_count;
+  res.leaving = a->leaving;
+  res.roster = a->roster.offset;
+  onc_reply (s->conn, xid, (xdrproc_t)xdr_lvp_beat_res, &res);
+  if (s->place < 0)
+    return;
+  grt_demand (&a->grants, (unsigned)s->place, call.queued, call.urgency);
+  agt_grant (a);
+}
+
+static void
+on_resolve (struct agt_session *s, uint32_t xid, XDR *args)
+{
+  struct agt_agent *a = s->agent;
+  lvp_resolve call;
+  struct sid_id sid;
+  const struct led_task *task;
+  struct agt_run *run;
+  int err;
+
+  if (!WIR_DECODE (lvp_resolve, args, &call))
+    {
+      onc_close (s->conn, -EBADMSG, "resolve cannot be decoded");
+      return;
+    }
+  ctr_add (&a->counters, AGT_REVOKED, 1);
+  sid = wir_to_sid (&call.sid);
+  task = led_resolve (&a->ledger, &sid, call.ballot, call.index, clk_now (),
+                      &err);
+  if (task == NULL)
+    {
+      /* Whoever holds the fence will know; this owner will not.  */
+      send_outcome (s, xid, LVP_UNKNOWN);
+      return;
+    }
+  run = agt_run_find (a, &sid, call.index);
+  if (run != NULL && call.cancel)
+    agt_run_stop (run);
+  attach_or_answer (s, xid, &sid, task);
+}
+
+static void
+on_fence (struct agt_session *s, uint32_t xid, XDR *args)
+{
+  struct agt_agent *a = s->agent;
+  lvp_fence call;
+  lvp_fence_res res = { 0 };
+  struct led_holder next;
+  struct led_holder held;
+  struct sid_id sid;
+  uint32_t started[LVP_TASKS_MAX];
+  int rc;
+
+  if (!WIR_DECODE (lvp_fence, args, &call))
+    {
+      onc_close (s->conn, -EBADMSG, "fence cannot be decoded");
+      return;
+    }
+  sid = wir_to_sid (&call.sid);
+  next.ballot = call.ballot;
+  next.addr = call.addr;
+  next.port = call.port;
+  rc = is_stale (a, &sid) ? -ESTALE
+                          : led_fence (&a->ledger, &sid, &next, call.polite,
+                                       clk_now (), &held);
+  if (rc == 0)
+    {
+      res.started.started_val = started;
+      res.started.started_len
+          = led_started (&a->ledger, &sid, started, LVP_TASKS_MAX);
+    }
+  else if (rc == -EBUSY)
+    {
+      res.status = LVP_FENCE_HELD;
+      res.ballot = held.ballot;
+      res.addr = held.addr;
+      res.port = held.port;
+    }
+  else
+    res.status = LVP_FENCE_EXPIRED;
+  onc_reply (s->conn, xid, (xdrproc_t)xdr_lvp_fence_res, &res);
+}
+
+static uint64_t
+home_since (const struct agt_agent *a, unsigned bucket)
+{
+  const struct ros_home *home = &a->roster.homes[bucket];
+
+  for (unsigned i = 0; i < ROS_HOMES; i++)
+    if (home->member[i] == a->incarnation)
+      return home->since_ms[i];
+  return 0;
+}
+
+static lvp_bind_status
+bind_status (int rc)
+{
+  switch (rc)
+    {
+    case 0:
+      return LVP_BIND_OK;
+    case -EEXIST:
+      return LVP_BIND_OTHER;
+    case -EAGAIN:
+      return LVP_BIND_FRESH;
+    default:
+      return LVP_BIND_FULL;
+    }
+}
+
+static void
+on_bind (struct agt_session *s, uint32_t xid, XDR *args)
+{
+  struct agt_agent *a = s->agent;
+  lvp_bind call;
+  lvp_bind_res res = { .status = LVP_BIND_VIEW };
+  struct lv_slice key;
+  unsigned bucket;
+  uint64_t since;
+
+  if (!WIR_DECODE (lvp_bind, args, &call))
+    {
+      onc_close (s->conn, -EBADMSG, "bind cannot be decoded");
+      return;
+    }
+  key = lv_slice_of (call.key);
+  bucket = ros_bucket (key);
+  since = home_since (a, bucket);
+  if (since != 0 && !a->leaving
+      && call.homes == ros_homes_digest (&a->roster, bucket))
+    {
+      struct sid_id sid = wir_to_sid (&call.sid);
+      struct sid_id bound = sid;
+      res.status = bind_status (
+          key_bind (&a->keys, key, &sid, since, call.first_sent_ms,
+                    clk_wall_ms (), &bound));
+      res.sid = wir_sid (&bound);
+    }
+  onc_reply (s->conn, xid, (xdrproc_t)xdr_lvp_bind_res, &res);
+  WIR_FREE (lvp_bind, &call);
+}
+
+static void
+on_return (struct agt_session *s, uint32_t xid, XDR *args)
+{
+  u_int n = 0;
+
+  xdr_u_int (args, &n);
+  onc_reply (s->conn, xid, NULL, NULL);
+  if (s->place < 0)
+    return;
+  grt_return (&s->agent->grants, (unsigned)s->place, n);
+  agt_grant (s->agent);
+}
+
+static void
+on_call (struct onc_conn *conn, uint32_t xid, uint32_t proc, XDR *args,
+         void *priv)
+{
+  struct agt_session *s = priv;
+
+  /* What waited in the socket while this process did not run is void.  */
+  if (clk_now () - s->agent->last_tick_ns > AGT_PAUSE_NS)
+    {
+      agt_drop_sessions (s->agent, "this process was paused");
+      return;
+    }
+  switch (proc)
+    {
+    case LVP_HELLO:
+      on_hello (s, xid, args);
+      return;
+    case LVP_BEAT:
+      on_beat (s, xid, args);
+      return;
+    case LVP_START:
+      on_start (s, xid, args);
+      return;
+    case LVP_RESOLVE:
+      on_resolve (s, xid, args);
+      return;
+    case LVP_FENCE:
+      on_fence (s, xid, args);
+      return;
+    case LVP_BIND:
+      on_bind (s, xid, args);
+      return;
+    case LVP_RETURN:
+      on_return (s, xid, args);
+      return;
+    default:
+      onc_close (conn, -EPROTO, "unknown procedure");
+    }
+}
+
+static void
+on_closed (struct onc_conn *conn, const struct err_error *err, void *priv)
+{
+  struct agt_session *s = priv;
+  struct agt_agent *a = s->agent;
+
+  log_line (LOGL_INFO, "session-end",
+            "peer=%s incarnation=%016" PRIx64 " step=%s why=\"%s\"",
+            onc_peer (conn), s->incarnation, err->step, err->detail);
+  agt_run_forget (a, s);
+  if (s->place >= 0)
+    grt_leave (&a->grants, (unsigned)s->place);
+  DL_DELETE (a->sessions, s);
+  ctr_set_gauge (&a->counters, AGT_SESSIONS,
+                 ctr_read (&a->counters, AGT_SESSIONS) - 1);
+  /* A run keeps its place number; the session itself ends here.  */
+  talloc_steal (conn, s);
+  agt_grant (a);
+}
+
+static void
+accepted (int fd, const char *peer, void *priv)
+{
+  struct agt_agent *a = priv;
+  struct agt_session *s = talloc_zero (a->ev, struct agt_session);
+  struct onc_handler handler = { on_call, on_closed, s };
+
+  s->agent = a;
+  s->place = -1;
+  s->conn = onc_attach (a->ev, a->ev, fd, peer, &handler);
+  DL_APPEND (a->sessions, s);
+  ctr_set_gauge (&a->counters, AGT_SESSIONS,
+                 ctr_read (&a->counters, AGT_SESSIONS) + 1);
+}
+
+int
+agt_listen (struct agt_agent *a)
+{
+  return net_serve (a->ev, a->ev, a->set.listen, accepted, a);
+}
+
+void
+agt_drop_sessions (struct agt_agent *a, const char *why)
+{
+  struct agt_session *s;
+  struct agt_session *next;
+
+  log_line (LOGL_WARN, "drop-sessions", "why=\"%s\"", why);
+  ctr_add (&a->counters, AGT_PAUSES, 1);
+  a->last_tick_ns = clk_now ();
+  DL_FOREACH_SAFE (a->sessions, s, next)
+  {
+    onc_close (s->conn, -ESTALE, why);
+  }
+}
+
+void
+agt_drop_silent (struct agt_agent *a, uint64_t now_ns)
+{
+  struct agt_session *s;
+  struct agt_session *next;
+
+  DL_FOREACH_SAFE (a->sessions, s, next)
+  {
+    if (now_ns - onc_last_heard (s->conn) <= a->set.silent_ms * CLK_MS)
+      continue;
+    ctr_add (&a->counters, AGT_SESSIONS_DROPPED, 1);
+    onc_close (s->conn, -ETIMEDOUT, "silent for too long");
+  }
+}
+
+void
+agt_grant (struct agt_agent *a)
+{
+  struct agt_session *s;
+
+  grt_balance (&a->grants);
+  DL_FOREACH (a->sessions, s)
+  {
+    struct grt_session *g;
+    int change;
+
+    if (s->place < 0)
+      continue;
+    g = &a->grants.session[s->place];
+    change = g->change;
+    g->change = 0;
+    if (change != 0)
+      onc_call (s->conn, LVP_GRANT, (xdrproc_t)xdr_int, &change, NULL, NULL);
+  }
+}
--- /dev/null
+++ b/src/clock.h
@@ -0,0 +1,38 @@
+/**
+ * DOC: clock
+ *
+ * The only readers of the clock outside the daemons' mains.  Decision modules
+ * get the time passed in.
+ */
+#ifndef LV_CLOCK_H
+#define LV_CLOCK_H
+
+#include <stdint.h>
+#include <time.h>
+
+/** Nanoseconds in a millisecond. */
+#define CLK_MS 1000000ULL
+/** Nanoseconds in a second. */
+#define CLK_S 1000000000ULL
+
+/** clk_now() - monotonic time, ns. */
+static inline uint64_t
+clk_now (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_MONOTONIC, &t);
+  return (uint64_t)t.tv_sec * CLK_S + (uint64_t)t.tv_nsec;
+}
+
+/** clk_wall_ms() - wall clock, milliseconds since 1970. */
+static inline uint64_t
+clk_wall_ms (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_REALTIME, &t);
+  return (uint64_t)t.tv_sec * 1000 + (uint64_t)t.tv_nsec / CLK_MS;
+}
+
+#endif
--- /dev/null
+++ b/src/daemon.c
@@ -0,0 +1,84 @@
+#include "daemon.h"
+
+#include <argtable2.h>
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+
+int
+dmn_fail (const struct err_error *err)
+{
+  fprintf (stderr, "error: step=%s peer=%s code=%d: %s\n", err->step,
+           err->peer, err->code, err->detail);
+  return err->code == -EINVAL ? DMN_USAGE : DMN_FAILED;
+}
+
+int
+dmn_bad_level (const char *level)
+{
+  fprintf (stderr,
+           "error: key log.level: found %s, expected error, warn, info or "
+           "debug\n",
+           level);
+  return DMN_USAGE;
+}
+
+static int
+read_file (const char *path, void *mem_ctx, const struct set_key *keys,
+           void *out, int check)
+{
+  struct err_error err;
+
+  if (set_load (mem_ctx, keys, out, path, &err) != 0)
+    {
+      dmn_fail (&err);
+      return DMN_USAGE;
+    }
+  if (check)
+    {
+      printf ("%s: settings are valid\n", path);
+      return DMN_OK;
+    }
+  return -1;
+}
+
+int
+dmn_settings (int argc, char **argv, const char *program, void *mem_ctx,
+              const struct set_key *keys, void *out)
+{
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
+  struct arg_lit *version = arg_lit0 (NULL, "version", "print the version");
+  struct arg_lit *check
+      = arg_lit0 (NULL, "check", "check the settings file and exit");
+  struct arg_file *file
+      = arg_file1 (NULL, NULL, "SETTINGS", "settings file, JSON");
+  struct arg_end *end = arg_end (8);
+  void *table[] = { help, version, check, file, end };
+  int errors = arg_parse (argc, argv, table);
+  int rc;
+
+  signal (SIGPIPE, SIG_IGN);
+  if (help->count > 0)
+    {
+      printf ("Usage: %s", program);
+      arg_print_syntax (stdout, table, "\n");
+      arg_print_glossary (stdout, table, "  %-16s %s\n");
+      set_describe (keys);
+      puts ("Exit codes: 0 ended, 1 failed, 2 wrong arguments or settings");
+      rc = DMN_OK;
+    }
+  else if (version->count > 0)
+    {
+      printf ("%s %s\n", program, LV_VERSION);
+      rc = DMN_OK;
+    }
+  else if (errors > 0)
+    {
+      arg_print_errors (stderr, end, program);
+      rc = DMN_USAGE;
+    }
+  else
+    rc = read_file (file->filename[0], mem_ctx, keys, out, check->count);
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return rc;
+}
--- /dev/null
+++ b/src/daemon.h
@@ -0,0 +1,39 @@
+/**
+ * DOC: daemon
+ *
+ * What the mains of the daemons share: arguments and exit codes.
+ */
+#ifndef LV_DAEMON_H
+#define LV_DAEMON_H
+
+#include "error.h"
+#include "settings.h"
+
+/** Version of all programs. */
+#define LV_VERSION "0.1.0"
+
+/** Exit codes of all programs. */
+enum dmn_exit
+{
+  DMN_OK = 0,
+  DMN_FAILED = 1,  /* the work could not be done */
+  DMN_USAGE = 2,   /* wrong arguments or settings */
+  DMN_REFUSED = 3, /* the system refused: not run */
+  DMN_UNKNOWN = 4, /* it may have run, or is not known yet */
+};
+
+/**
+ * dmn_settings() - read the arguments and the settings file of a daemon
+ *
+ * Return: -1 to go on, or the exit code.
+ */
+int dmn_settings (int argc, char **argv, const char *program, void *mem_ctx,
+                  const struct set_key *keys, void *out);
+
+/** dmn_fail() - print an error. Return: the exit code. */
+int dmn_fail (const struct err_error *err);
+
+/** dmn_bad_level() - complain about log.level. Return: the exit code. */
+int dmn_bad_level (const char *level);
+
+#endif
--- /dev/null
+++ b/src/entry.c
@@ -0,0 +1,368 @@
+#include "entry.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <microhttpd.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <unistd.h>
+#include <urcu-bp.h>
+#include <utlist.h>
+
+#include "clock.h"
+#include "entropy.h"
+#include "logline.h"
+#include "net.h"
+
+#define TICK_MS 50
+/* A longer gap between two ticks means that the process did not run.  */
+#define PAUSE_NS (1000 * CLK_MS)
+#define LOG_CONNECTIONS 16L
+/* Least time that a leaver goes on, so that others hear of it.  */
+#define LEAVE_LINGER_NS (300 * CLK_MS)
+
+#define KEY(name, type, field, fallback, min, max, help)                      \
+  {                                                                           \
+    name, type, offsetof (struct ent_settings, field), fallback, min, max,    \
+        help                                                                  \
+  }
+
+const struct set_key ent_keys[] = {
+  KEY ("name", SET_STRING, name, NULL, 0, 0, "unique name of this entry"),
+  KEY ("domain", SET_STRING, domain, NULL, 0, 0, "failure domain"),
+  KEY ("listen", SET_ADDRESS, listen, NULL, 0, 0,
+       "RPC address for other entries, IP:PORT"),
+  KEY ("advertise", SET_ADDRESS, advertise, "", 0, 0,
+       "address that other entries use, if not the listen address"),
+  KEY ("http.listen", SET_ADDRESS, http, NULL, 0, 0,
+       "HTTP address for callers, IP:PORT"),
+  KEY ("http.threads", SET_UINT, http_threads, "2", 1, 64, "threads"),
+  KEY ("log.url", SET_STRING, log_url, NULL, 0, 0,
+       "platform log, http://IP:PORT"),
+  KEY ("log.level", SET_STRING, log_level, "info", 0, 0,
+       "error, warn, info or debug"),
+  KEY ("order", SET_STRING, order, "ratio", 0, 0,
+       "within a flow: arrival, shortest or ratio"),
+  KEY ("policy", SET_STRING, policy, "credit", 0, 0,
+       "credit; random, two-choices, idle-queue are baselines"),
+  KEY ("teams", SET_STRINGS, teams, "", 0, 0,
+       "teams that may submit; empty for any"),
+  KEY ("kinds", SET_STRINGS, kinds, "", 0, 0,
+       "kinds of task that may be submitted; empty for any"),
+  KEY ("seeds", SET_STRINGS, seeds, "", 0, 0,
+       "RPC addresses of entries to ask while the log is away"),
+  KEY ("window_s", SET_UINT, window_s, "300", 1, 86400,
+       "seconds in which a submission may be sent again"),
+  KEY ("record_bytes", SET_UINT, record_bytes, "268435456", 65536, 1ULL << 40,
+       "bytes of submissions on record; refused beyond"),
+  KEY ("queue_tasks", SET_UINT, queue_tasks, "100000", 1, 10000000,
+       "tasks that may wait; refused beyond"),
+  KEY ("wait_ms", SET_UINT, wait_ms, "10000", 1, 86400000,
+       "longest expected wait admitted, ms, unless a rule says else"),
+  KEY ("heartbeat_ms", SET_UINT, heartbeat_ms, "500", 50, 60000,
+       "milliseconds between heartbeats"),
+  KEY ("silent_ms", SET_UINT, silent_ms, "1500", 100, 60000,
+       "milliseconds after which a silent connection is replaced"),
+  KEY ("resolve_ms", SET_UINT, resolve_ms, "2500", 100, 600000,
+       "milliseconds to wait for the outcome from a lost agent"),
+  KEY ("gone_ms", SET_UINT, gone_ms, "10000", 1000, 3600000,
+       "milliseconds after which an unreachable agent is ended"),
+  KEY ("refresh_s", SET_UINT, refresh_s, "60", 1, 86400,
+       "seconds between refreshes in the log"),
+  { NULL, SET_STRING, 0, NULL, 0, 0, NULL },
+};
+
+static const struct ctr_desc counter_descs[ENT_COUNTERS] = {
+  [ENT_REQUESTS]
+  = { "lagoonvale_entry_requests_total", "submissions received", false },
+  [ENT_SUBMISSIONS]
+  = { "lagoonvale_entry_submissions_total", "put on record", false },
+  [ENT_REFUSALS]
+  = { "lagoonvale_entry_refusals_total", "requests refused", false },
+  [ENT_COMPLETE]
+  = { "lagoonvale_entry_complete_total", "whole answers", false },
+  [ENT_FAILED_NOT_RUN] = { "lagoonvale_entry_failed_not_run_total",
+                           "submissions failed, not run", false },
+  [ENT_FAILED_MAY_HAVE_RUN]
+  = { "lagoonvale_entry_failed_may_have_run_total",
+      "submissions failed, may have run", false },
+  [ENT_ATTACHED] = { "lagoonvale_entry_attached_total",
+                     "repeated submissions that found their record", false },
+  [ENT_FORWARDED] = { "lagoonvale_entry_forwarded_total",
+                      "requests passed to their owner", false },
+  [ENT_ADOPTED] = { "lagoonvale_entry_adopted_total",
+                    "submissions taken over from a lost owner", false },
+  [ENT_ADOPT_UNCERTAIN]
+  = { "lagoonvale_entry_adopt_uncertain_total",
+      "submissions whose past could not be established", false },
+  [ENT_KEYS_BOUND] = { "lagoonvale_entry_keys_bound_total",
+                       "caller-chosen keys bound", false },
+  [ENT_CANCELS]
+  = { "lagoonvale_entry_cancels_total", "cancellations", false },
+  [ENT_STARTS]
+  = { "lagoonvale_entry_starts_total", "starts sent to agents", false },
+  [ENT_WASTED_STARTS] = { "lagoonvale_entry_wasted_starts_total",
+                          "starts that agents refused", false },
+  [ENT_RESOLVES] = { "lagoonvale_entry_resolves_total",
+                     "questions what became of a task", false },
+  [ENT_GAVE_UP] = { "lagoonvale_entry_gave_up_total",
+                    "tasks whose outcome stayed unknown", false },
+  [ENT_DEMANDS] = { "lagoonvale_entry_demands_total",
+                    "reports of a growing queue", false },
+  [ENT_RETURNS] = { "lagoonvale_entry_returns_total",
+                    "messages that gave credits back", false },
+  [ENT_EJECTIONS]
+  = { "lagoonvale_entry_ejections_total", "agents ejected", false },
+  [ENT_LINKS_DROPPED] = { "lagoonvale_entry_links_dropped_total",
+                          "connections replaced for silence", false },
+  [ENT_RULES_VERSION]
+  = { "lagoonvale_entry_rules_version", "rules in force", true },
+  [ENT_QUEUED] = { "lagoonvale_entry_queued_tasks", "tasks waiting", true },
+  [ENT_IN_FLIGHT]
+  = { "lagoonvale_entry_in_flight_tasks", "tasks sent, not ended", true },
+  [ENT_RECORDS]
+  = { "lagoonvale_entry_records", "submissions on record", true },
+  [ENT_RECORD_BYTES]
+  = { "lagoonvale_entry_record_bytes", "bytes of submissions", true },
+  [ENT_LINKS] = { "lagoonvale_entry_agents", "agents connected", true },
+  [ENT_RPC_BYTES]
+  = { "lagoonvale_entry_rpc_sent_bytes", "bytes sent by RPC", true },
+  [ENT_RPC_CALLS] = { "lagoonvale_entry_rpc_calls", "RPC calls sent", true },
+};
+
+static struct rul_set *
+parse_rules (struct ent_entry *e, void *mem_ctx)
+{
+  struct rul_finding finding;
+  uint32_t count;
+  struct rul_set *set;
+
+  if (e->rules.text == NULL)
+    return talloc_zero (mem_ctx, struct rul_set);
+  set = rul_parse (mem_ctx, lv_slice_of (e->rules.text), &finding, 1, &count);
+  if (set != NULL)
+    set->version = e->rules.version;
+  return set;
+}
+
+void
+ent_publish_view (struct ent_entry *e)
+{
+  struct ent_view *old = e->view;
+  struct ent_view *view = talloc_zero (NULL, struct ent_view);
+
+  view->rules = parse_rules (e, view);
+  view->ready
+      = (e->rules.known || e->rules.version > 0) && e->members_known;
+  view->leaving = e->leaving;
+  rcu_assign_pointer (e->view, view);
+  if (old == NULL)
+    return;
+  synchronize_rcu ();
+  talloc_free (old);
+}
+
+static void
+update_gauges (struct ent_entry *e)
+{
+  const struct ent_link *link;
+  uint32_t in_flight = 0;
+  uint32_t up = 0;
+
+  DL_FOREACH (e->links, link)
+  {
+    in_flight += link->sent;
+    up += ent_link_ready (link);
+  }
+  ctr_set_gauge (&e->counters, ENT_QUEUED, e->queue.count);
+  ctr_set_gauge (&e->counters, ENT_IN_FLIGHT, in_flight);
+  ctr_set_gauge (&e->counters, ENT_RECORDS, HASH_COUNT (e->records));
+  ctr_set_gauge (&e->counters, ENT_RECORD_BYTES, e->record_bytes);
+  ctr_set_gauge (&e->counters, ENT_LINKS, up);
+  ctr_set_gauge (&e->counters, ENT_RPC_BYTES, onc_bytes_sent ());
+  ctr_set_gauge (&e->counters, ENT_RPC_CALLS, onc_calls_sent ());
+}
+
+static void tick (struct tevent_context *ev, struct tevent_timer *te,
+                  struct timeval at, void *priv);
+
+static void
+next_tick (struct ent_entry *e)
+{
+  tevent_add_timer (e->ev, e->ev,
+                    tevent_timeval_current_ofs (0, TICK_MS * 1000), tick, e);
+}
+
+/* After a pause, others may have taken over what was minted before it.  */
+static void
+note_pause (struct ent_entry *e, uint64_t now_ns)
+{
+  if (now_ns - e->last_tick_ns > PAUSE_NS)
+    {
+      e->doubt_ms = clk_wall_ms ();
+      log_line (LOGL_WARN, "paused", "for_ms=%" PRIu64,
+                (uint64_t)((now_ns - e->last_tick_ns) / CLK_MS));
+    }
+  e->last_tick_ns = now_ns;
+}
+
+static void
+tick (struct tevent_context *ev, struct tevent_timer *te, struct timeval at,
+      void *priv)
+{
+  struct ent_entry *e = priv;
+  uint64_t now = clk_now ();
+
+  (void)ev;
+  (void)te;
+  (void)at;
+  note_pause (e, now);
+  ent_link_tick (e, now);
+  ent_peer_tick (e, now);
+  ent_log_tick (e, now);
+  ent_intake_tick (e, now);
+  ent_record_expire (e, now);
+  ros_expire (&e->roster, clk_wall_ms () - 4 * e->set.window_s * 1000);
+  update_gauges (e);
+  ent_pump (e);
+  log_flush ();
+  next_tick (e);
+}
+
+static void
+on_wake (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+         void *priv)
+{
+  struct ent_entry *e = priv;
+  struct cds_wfcq_node *node;
+  uint64_t count;
+
+  (void)ev;
+  (void)fde;
+  (void)flags;
+  if (read (e->wake_fd, &count, sizeof count) < 0 && errno != EAGAIN)
+    return;
+  note_pause (e, clk_now ());
+  while ((node = cds_wfcq_dequeue_blocking (&e->intake_head, &e->intake_tail))
+         != NULL)
+    ent_intake (e, caa_container_of (node, struct req_request, node));
+}
+
+static int
+describe_self (struct ent_entry *e)
+{
+  struct sockaddr_in address;
+
+  if (strlen (e->set.name) >= ROS_NAME_MAX
+      || strlen (e->set.domain) >= ROS_NAME_MAX)
+    return -ENAMETOOLONG;
+  strcpy (e->self.name, e->set.name);
+  strcpy (e->self.domain, e->set.domain);
+  net_parse (&address, e->set.advertise != NULL ? e->set.advertise
+                                                : e->set.listen);
+  e->self.role = ROS_ENTRY;
+  e->self.addr = ntohl (address.sin_addr.s_addr);
+  e->self.port = ntohs (address.sin_port);
+  e->self.incarnation = e->incarnation;
+  return 0;
+}
+
+static int
+check_choices (struct ent_entry *e, struct err_error *err)
+{
+  e->policy = plc_find (e->set.policy);
+  if (e->policy == NULL)
+    return err_set (err, -EINVAL, "start", NULL,
+                    "key policy: found %s, expected credit, random, "
+                    "two-choices or idle-queue",
+                    e->set.policy);
+  if (que_order_find (e->set.order) == NULL)
+    return err_set (err, -EINVAL, "start", NULL,
+                    "key order: found %s, expected arrival, shortest or ratio",
+                    e->set.order);
+  if (describe_self (e) != 0)
+    return err_set (err, -EINVAL, "start", NULL,
+                    "name or domain longer than %d bytes", ROS_NAME_MAX - 1);
+  return 0;
+}
+
+static int
+open_sockets (struct ent_entry *e, struct err_error *err)
+{
+  int rc = ent_peer_listen (e);
+
+  if (rc != 0)
+    return err_set (err, rc, "start", e->set.listen, "cannot listen: %s",
+                    strerror (-rc));
+  rc = ent_http_open (e);
+  if (rc != 0)
+    return err_set (err, rc, "start", e->set.http, "cannot serve HTTP: %s",
+                    strerror (-rc));
+  tevent_add_fd (e->ev, e->ev, e->wake_fd, TEVENT_FD_READ, on_wake, e);
+  return 0;
+}
+
+int
+ent_start (struct ent_entry *e, struct tevent_context *ev,
+           const struct ent_settings *settings, struct err_error *err)
+{
+  memset (e, 0, sizeof *e);
+  e->set = *settings;
+  e->ev = ev;
+  e->incarnation = rnd_u64 ();
+  if (check_choices (e, err) != 0)
+    return err->code;
+  e->rng = gsl_rng_alloc (gsl_rng_taus2);
+  gsl_rng_set (e->rng, (unsigned long)e->incarnation);
+  e->last_tick_ns = clk_now ();
+  ctr_init (&e->counters, counter_descs, ENT_COUNTERS);
+  ros_init (&e->roster, ev);
+  rvs_init (&e->rules, ev);
+  est_init (&e->estimates, ev);
+  que_init (&e->queue, ev, que_order_find (e->set.order));
+  e->queue.weight_of = ent_weight;
+  e->queue.weight_priv = e;
+  e->pump = tevent_create_immediate (ev);
+  e->client = hcl_new (ev, ev, LOG_CONNECTIONS);
+  ent_publish_view (e);
+  if (open_sockets (e, err) != 0)
+    return err->code;
+  ent_log_open (e);
+  next_tick (e);
+  log_line (LOGL_INFO, "started",
+            "incarnation=%016" PRIx64 " domain=%s http=%s listen=%s policy=%s "
+            "order=%s",
+            e->incarnation, e->set.domain, e->set.http, e->set.listen,
+            e->set.policy, e->set.order);
+  return 0;
+}
+
+void
+ent_leave (struct ent_entry *e)
+{
+  if (e->leaving)
+    return;
+  e->leaving = true;
+  e->leaving_ns = clk_now ();
+  log_line (LOGL_INFO, "leaving", "open=%u queued=%zu", e->open_records,
+            e->queue.count);
+  ent_publish_view (e);
+  ent_log_leave (e);
+}
+
+bool
+ent_done (const struct ent_entry *e)
+{
+  return e->leaving && e->open_records == 0
+         && atomic_load (&e->http_open) == 0 && e->held_requests == 0
+         && clk_now () - e->leaving_ns > LEAVE_LINGER_NS;
+}
+
+void
+ent_finish (struct ent_entry *e)
+{
+  ent_http_quiet (e);
+  MHD_stop_daemon (e->http);
+  gsl_rng_free (e->rng);
+}
--- /dev/null
+++ b/src/entry.h
@@ -0,0 +1,439 @@
+/**
+ * DOC: entry
+ *
+ * A thin instance behind the balancer.  Work flows one way: accept, admit,
+ * queue, decide, send, collect, answer.
+ *
+ *   entry.c          life of the process: ticks, leaving, wiring
+ *   entry_http.c     HTTP threads: accept, parse, answer
+ *   entry_intake.c   what to do with a request: submit, poll, cancel
+ *   entry_admit.c    refuse early what cannot or may not run
+ *   entry_record.c   submissions on record, and their answers
+ *   entry_dispatch.c queue, decide, send, collect
+ *   entry_link.c     connections to agents, credits, reconciling
+ *   entry_peer.c     connections between entries
+ *   entry_adopt.c    taking over a submission whose owner is gone
+ *   entry_bind.c     caller-chosen keys at their homes
+ *   entry_log.c      the membership and rules streams
+ *
+ * HTTP threads parse and hand requests to the dispatch thread through a
+ * wait-free queue; they read the published rules by RCU.  All else belongs to
+ * the dispatch thread.
+ */
+#ifndef LV_ENTRY_H
+#define LV_ENTRY_H
+
+#include <gsl/gsl_rng.h>
+#include <stdatomic.h>
+#include <tevent.h>
+#include <urcu/wfcqueue.h>
+
+#include "http_client.h"
+#include "lagoonvale/adopt.h"
+#include "lagoonvale/counter.h"
+#include "lagoonvale/estimate.h"
+#include "lagoonvale/health.h"
+#include "lagoonvale/placement.h"
+#include "lagoonvale/queue.h"
+#include "lagoonvale/roster.h"
+#include "lagoonvale/rules.h"
+#include "lagoonvale/ruleversion.h"
+#include "lagoonvale/submission.h"
+#include "logtail.h"
+#include "lvproto.h"
+#include "request.h"
+#include "onc.h"
+#include "settings.h"
+
+/** struct ent_settings - settings file of an entry; ent_keys documents it. */
+struct ent_settings
+{
+  char *name;
+  char *domain;
+  char *listen;
+  char *advertise;
+  char *http;
+  char *log_url;
+  char *log_level;
+  char *order;
+  char *policy;
+  struct set_strings teams;
+  struct set_strings kinds;
+  struct set_strings seeds;
+  uint64_t http_threads;
+  uint64_t window_s;
+  uint64_t record_bytes;
+  uint64_t queue_tasks;
+  uint64_t wait_ms;
+  uint64_t heartbeat_ms;
+  uint64_t silent_ms;
+  uint64_t resolve_ms;
+  uint64_t gone_ms;
+  uint64_t refresh_s;
+};
+
+extern const struct set_key ent_keys[];
+
+/** enum ent_counter - the entry's metrics, described in entry.c. */
+enum ent_counter
+{
+  ENT_REQUESTS,
+  ENT_SUBMISSIONS,
+  ENT_REFUSALS,
+  ENT_COMPLETE,
+  ENT_FAILED_NOT_RUN,
+  ENT_FAILED_MAY_HAVE_RUN,
+  ENT_ATTACHED,
+  ENT_FORWARDED,
+  ENT_ADOPTED,
+  ENT_ADOPT_UNCERTAIN,
+  ENT_KEYS_BOUND,
+  ENT_CANCELS,
+  ENT_STARTS,
+  ENT_WASTED_STARTS,
+  ENT_RESOLVES,
+  ENT_GAVE_UP,
+  ENT_DEMANDS,
+  ENT_RETURNS,
+  ENT_EJECTIONS,
+  ENT_LINKS_DROPPED,
+  ENT_RULES_VERSION,
+  ENT_QUEUED,
+  ENT_IN_FLIGHT,
+  ENT_RECORDS,
+  ENT_RECORD_BYTES,
+  ENT_LINKS,
+  ENT_RPC_BYTES,
+  ENT_RPC_CALLS,
+  ENT_COUNTERS
+};
+
+struct ent_entry;
+struct ent_record;
+struct ent_link;
+
+/** enum ent_phase - where a submission stands */
+enum ent_phase
+{
+  ENT_ADOPTING,
+  ENT_BINDING,
+  ENT_OPEN,
+  ENT_ENDED,
+};
+
+/**
+ * struct ent_task - one task of a submission on record
+ * @item: its place in the queue
+ * @spec: what to run, memory of the request
+ * @output: talloc, once it ran
+ */
+struct ent_task
+{
+  struct que_item item;
+  struct ent_record *record;
+  uint32_t index;
+  const struct req_task *spec;
+  char *output;
+  size_t output_len;
+};
+
+/**
+ * struct ent_record - a submission that this entry owns or has adopted
+ * @ballot: 0 as its minting owner
+ * @body: the request, memory of its tasks; freed when it ends
+ * @waiters: requests to be answered
+ * @answer: once ended
+ */
+struct ent_record
+{
+  struct ent_entry *entry;
+  struct sid_id sid;
+  uint64_t ballot;
+  uint64_t fingerprint;
+  enum ent_phase phase;
+  struct req_request *body;
+  struct ent_task *tasks;
+  struct sub_core core;
+  struct req_request *waiters;
+  struct req_answer *answer;
+  const char *fail_code;
+  const char *fail_step;
+  char fail_peer[ERR_PEER_MAX];
+  uint64_t began_ns;
+  uint64_t ended_ns;
+  size_t bytes;
+  struct ent_adoption *adoption;
+  struct ent_bind *bind;
+  struct ent_record *prev;
+  struct ent_record *next;
+  UT_hash_handle hh;
+};
+
+/**
+ * struct ent_call - a start or resolve that is under way
+ * @since_ns: when the connection to its target was lost, 0 while it is up
+ */
+struct ent_call
+{
+  struct ent_link *link;
+  struct sid_id sid;
+  uint32_t index;
+  uint64_t estimate_ns;
+  uint64_t since_ns;
+  bool cancel;
+  struct ent_call *prev;
+  struct ent_call *next;
+};
+
+/** struct ent_link - an agent, as this entry knows it. */
+struct ent_link
+{
+  struct ent_entry *entry;
+  struct ros_member *member;
+  struct onc_conn *conn;
+  bool hello;
+  bool dead; /* another incarnation answers at its address */
+  bool leaving;
+  uint64_t session;
+  uint32_t slots;
+  uint32_t credits;
+  uint32_t sent;
+  uint32_t load;
+  uint64_t retry_ns;
+  uint64_t lost_ns;
+  uint64_t beat_ns;
+  uint64_t demand_ns;
+  uint32_t demand;
+  struct hlt_target health;
+  struct ent_call *cut;
+  struct ent_link *prev;
+  struct ent_link *next;
+};
+
+/** struct ent_view - what HTTP threads read by RCU. */
+struct ent_view
+{
+  struct rul_set *rules;
+  bool ready;
+  bool leaving;
+};
+
+struct ent_peer;
+struct ent_usage;
+
+struct ent_entry
+{
+  struct ent_settings set;
+  struct tevent_context *ev;
+  uint64_t incarnation;
+  struct ros_member self;
+  uint32_t next_seq;
+  gsl_rng *rng;
+
+  struct MHD_Daemon *http;
+  int http_fd;
+  int wake_fd;
+  struct cds_wfcq_head intake_head;
+  struct cds_wfcq_tail intake_tail;
+  struct ent_view *view;
+  _Atomic uint64_t http_open;
+
+  struct ros_roster roster;
+  struct rvs_state rules;
+  struct lgt_tail *members;
+  struct lgt_tail *rules_tail;
+  struct hcl_client *client;
+  bool members_known;
+  bool announced;
+  uint64_t joined;
+  uint64_t doubt_ms; /* wall time until which others may have adopted */
+  uint64_t last_tick_ns;
+  uint64_t next_refresh_ns;
+  uint64_t next_state_ns;
+  uint64_t next_sync_ns;
+
+  struct que_queue queue;
+  struct est_table estimates;
+  const struct plc_policy *policy;
+  struct ent_link *links;
+  uint32_t link_count;
+  struct plc_target *targets;
+  struct ent_link **target_links;
+  uint32_t target_cap;
+  struct hlt_fleet fleet;
+  struct ent_usage *usage;
+  bool pump_set;
+  struct tevent_immediate *pump;
+
+  struct ent_record *records;
+  struct ent_record *ended;
+  size_t record_bytes;
+  uint32_t open_records;
+  struct ent_peer *peers;
+  struct req_request *timed;
+  uint32_t held_requests;
+
+  bool leaving;
+  uint64_t leaving_ns;
+  struct ctr_set counters;
+};
+
+/* entry.c */
+
+/** ent_start() - open everything. Return: 0 or a negative error number. */
+int ent_start (struct ent_entry *e, struct tevent_context *ev,
+               const struct ent_settings *settings, struct err_error *err);
+/** ent_leave() - stop accepting, answer what is in flight, then stop. */
+void ent_leave (struct ent_entry *e);
+/** ent_done() - whether a leaving entry has nothing left to do. */
+bool ent_done (const struct ent_entry *e);
+/** ent_finish() - close the HTTP side. */
+void ent_finish (struct ent_entry *e);
+/** ent_publish_view() - let HTTP threads see rules and readiness. */
+void ent_publish_view (struct ent_entry *e);
+
+/* entry_http.c */
+
+/** ent_http_open() - accept callers. Return: 0 or a negative error number. */
+int ent_http_open (struct ent_entry *e);
+/** ent_http_quiet() - accept no further connections. */
+void ent_http_quiet (struct ent_entry *e);
+
+/* entry_intake.c */
+
+/** ent_intake() - handle one request on the dispatch thread. */
+void ent_intake (struct ent_entry *e, struct req_request *r);
+/** ent_submit_as() - handle @r as a submission under the id @sid. */
+void ent_submit_as (struct ent_entry *e, struct req_request *r,
+                    const struct sid_id *sid);
+/** ent_refuse() - answer @r with a refusal. */
+void ent_refuse (struct ent_entry *e, struct req_request *r,
+                 struct req_refusal *why);
+/** ent_open_or_refuse() - admit a record that waited for its key or fence. */
+void ent_open_or_refuse (struct ent_record *rec);
+/**
+ * ent_in_doubt() - whether another entry may have taken @sid over while this
+ * one was out of touch without knowing
+ */
+bool ent_in_doubt (const struct ent_entry *e, const struct sid_id *sid);
+/** ent_mint() - a new submission id. */
+void ent_mint (struct ent_entry *e, struct sid_id *sid);
+/** ent_intake_tick() - end polls whose time is over. */
+void ent_intake_tick (struct ent_entry *e, uint64_t now_ns);
+
+/* entry_admit.c */
+
+/** ent_admit() - may this submission be queued? Return: whether it may. */
+bool ent_admit (struct ent_entry *e, const struct req_request *r,
+                struct req_refusal *why);
+/** ent_explain() - JSON text: which rules apply to @r and what follows. */
+char *ent_explain (struct ent_entry *e, const struct req_request *r);
+/** ent_usage_add() - @n more tasks of this team and kind are running. */
+void ent_usage_add (struct ent_entry *e, struct lv_slice team,
+                    struct lv_slice kind, int n);
+/** ent_blocked() - whether a limit keeps this team or kind waiting. */
+bool ent_blocked (void *priv, struct lv_slice team, struct lv_slice kind);
+/** ent_weight() - configured weight, for the queue. */
+double ent_weight (void *priv, struct lv_slice team, enum que_urgency u);
+
+/* entry_record.c */
+
+/** ent_record_find() - by id, or NULL. */
+struct ent_record *ent_record_find (struct ent_entry *e,
+                                    const struct sid_id *sid);
+/** ent_record_new() - put @r on record; the record owns it. */
+struct ent_record *ent_record_new (struct ent_entry *e, struct req_request *r,
+                                   const struct sid_id *sid);
+/** ent_record_open() - its tasks may be queued now. */
+void ent_record_open (struct ent_record *rec);
+/** ent_record_check() - answer if the verdict is there. */
+void ent_record_check (struct ent_record *rec);
+/** ent_record_fail() - no further starts; remember why. */
+void ent_record_fail (struct ent_record *rec, const char *code,
+                      const char *step, const char *peer);
+/** ent_record_refuse() - end a record of which nothing has started here. */
+void ent_record_refuse (struct ent_record *rec, const struct req_refusal *why);
+/** ent_record_wait() - answer @r when the record ends. */
+void ent_record_wait (struct ent_record *rec, struct req_request *r);
+/** ent_record_drop() - forget a record that never opened; waiters go on. */
+struct req_request *ent_record_drop (struct ent_record *rec);
+/** ent_record_expire() - forget records that ended long ago. */
+void ent_record_expire (struct ent_entry *e, uint64_t now_ns);
+
+/* entry_dispatch.c */
+
+/** ent_pump() - schedule a turn of the dispatch loop. */
+void ent_pump (struct ent_entry *e);
+/** ent_enqueue() - let task @i of @rec wait for a target. */
+void ent_enqueue (struct ent_record *rec, uint32_t i, uint64_t spread_ns);
+/** ent_found() - an adopted submission's task has started at @incarnation. */
+void ent_found (struct ent_record *rec, uint32_t i, uint64_t incarnation);
+/** ent_resolve() - ask the target of @call what became of its task. */
+void ent_resolve (struct ent_call *call);
+/** ent_cancel() - stop all that @rec has queued or running. */
+void ent_cancel (struct ent_record *rec);
+/** ent_call_gave_up() - the outcome of @call will not be known. */
+void ent_call_gave_up (struct ent_call *call, const char *why);
+
+/* entry_link.c */
+
+/** ent_link_add() - an agent joined. */
+void ent_link_add (struct ent_entry *e, struct ros_member *m);
+/** ent_link_end() - an agent's membership ended. */
+void ent_link_end (struct ent_entry *e, struct ros_member *m);
+/** ent_link_find() - by incarnation, or NULL. */
+struct ent_link *ent_link_find (const struct ent_entry *e,
+                                uint64_t incarnation);
+/** ent_link_tick() - beats, silences, reconnects. */
+void ent_link_tick (struct ent_entry *e, uint64_t now_ns);
+/** ent_link_demand() - tell agents what waits here. */
+void ent_link_demand (struct ent_entry *e, uint32_t queued, uint64_t now_ns);
+/** ent_link_ready() - connected, and the right incarnation. */
+bool ent_link_ready (const struct ent_link *link);
+
+/* entry_peer.c */
+
+/** ent_peer_listen() - accept other entries. Return: 0 or -errno. */
+int ent_peer_listen (struct ent_entry *e);
+/** ent_forward() - let the owner at @addr:@port handle @r. */
+void ent_forward (struct ent_entry *e, struct req_request *r,
+                  const struct sid_id *sid, uint64_t incarnation,
+                  uint32_t addr, uint32_t port);
+/** ent_peer_tick() - beats and silences between entries. */
+void ent_peer_tick (struct ent_entry *e, uint64_t now_ns);
+/** ent_peer_sync() - ask peers for rules and members. */
+void ent_peer_sync (struct ent_entry *e);
+
+/* entry_adopt.c */
+
+/** ent_adopt() - take over @sid, whose owner is gone, for @r. */
+void ent_adopt (struct ent_entry *e, struct req_request *r,
+                const struct sid_id *sid);
+/** ent_adopt_overrule() - the adopter that was yielded to is gone as well. */
+void ent_adopt_overrule (struct ent_entry *e, struct req_request *r,
+                         const struct sid_id *sid, uint64_t ballot);
+
+/* entry_bind.c */
+
+/** ent_bind() - bind the key of @rec at its homes, then open it. */
+void ent_bind (struct ent_record *rec);
+
+/* entry_log.c */
+
+/** ent_log_open() - follow both streams. */
+void ent_log_open (struct ent_entry *e);
+/** ent_log_tick() - refreshes when due. */
+void ent_log_tick (struct ent_entry *e, uint64_t now_ns);
+/** ent_log_leave() - append the end of this member. */
+void ent_log_leave (struct ent_entry *e);
+/** ent_log_gone() - append the end of an agent that can't be reached. */
+void ent_log_gone (struct ent_entry *e, const struct ros_member *m);
+/** ent_log_rules_changed() - parse and publish the rules in force. */
+void ent_log_rules_changed (struct ent_entry *e, const char *source);
+/** ent_log_members_from() - take the members that a peer knows. */
+void ent_log_members_from (struct ent_entry *e, uint64_t offset,
+                           struct lv_slice dump);
+/** ent_entries() - entries in force, at least 1. */
+unsigned ent_entries (const struct ent_entry *e);
+
+#endif
--- /dev/null
+++ b/src/entry_dispatch.c
@@ -0,0 +1,419 @@
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+#include <utlist.h>
+
+#include "clock.h"
+#include "entry.h"
+#include "logline.h"
+#include "wire.h"
+
+static struct lv_slice
+team_of (const struct ent_record *rec)
+{
+  return lv_slice_of (rec->body->team);
+}
+
+void
+ent_enqueue (struct ent_record *rec, uint32_t i, uint64_t spread_ns)
+{
+  struct ent_entry *e = rec->entry;
+  struct ent_task *t = &rec->tasks[i];
+  struct lv_slice kind = lv_slice_of (t->spec->kind);
+
+  if (!sub_may_send (&rec->core, i) || t->item.flow != NULL)
+    return;
+  que_push (&e->queue, &t->item, team_of (rec), rec->body->urgency, kind,
+            est_mean (&e->estimates, kind), spread_ns, clk_now ());
+}
+
+static void
+learn (struct ent_call *call, const struct ent_record *rec,
+       const struct ent_task *task, const lvp_outcome *out)
+{
+  struct ent_entry *e = rec->entry;
+  struct lv_slice kind = lv_slice_of (task->spec->kind);
+  bool succeeded = out->status == LVP_OK;
+
+  if (out->status != LVP_OK && out->status != LVP_TASK_FAILED)
+    return;
+  est_observe (&e->estimates, kind, out->run_ns, succeeded);
+  que_correct (&e->queue, team_of (rec), rec->body->urgency, kind,
+               call->estimate_ns, out->run_ns);
+  if (!hlt_observe (&e->fleet, &call->link->health, succeeded,
+                    est_failure_rate (&e->estimates, kind), clk_now ()))
+    return;
+  ctr_add (&e->counters, ENT_EJECTIONS,
+           call->link->health.state == HLT_EJECTED);
+  log_line (LOGL_WARN, "health", "agent=%s state=%s kind=%s blame=%.2f",
+            call->link->member->name,
+            call->link->health.state == HLT_EJECTED ? "ejected" : "fit",
+            task->spec->kind, call->link->health.blame);
+}
+
+static enum sub_outcome
+outcome_of (lvp_status status)
+{
+  switch (status)
+    {
+    case LVP_OK:
+      return SUB_OUT_RAN;
+    case LVP_TASK_FAILED:
+      return SUB_OUT_FAILED;
+    case LVP_NOT_STARTED:
+    case LVP_LEAVING:
+    case LVP_BUSY:
+      return SUB_OUT_NOT_STARTED;
+    case LVP_FENCED:
+      return SUB_OUT_FENCED;
+    case LVP_UNKNOWN:
+      break;
+    }
+  return SUB_OUT_UNKNOWN;
+}
+
+static const char *
+fail_code_of (lvp_status status)
+{
+  switch (status)
+    {
+    case LVP_TASK_FAILED:
+      return "task_failed";
+    case LVP_FENCED:
+      return "taken_over";
+    default:
+      return "outcome_lost";
+    }
+}
+
+static void
+retire_call (struct ent_call *call)
+{
+  struct ent_link *link = call->link;
+
+  if (call->since_ns != 0)
+    DL_DELETE (link->cut, call);
+  link->sent--;
+  talloc_free (call);
+}
+
+static void
+hear (struct ent_call *call, const lvp_outcome *out)
+{
+  struct ent_link *link = call->link;
+  struct ent_entry *e = link->entry;
+  struct ent_record *rec = ent_record_find (e, &call->sid);
+  struct ent_task *task;
+  enum sub_step step;
+
+  if (rec == NULL || rec->tasks == NULL)
+    return;
+  task = &rec->tasks[call->index];
+  if (out->status == LVP_OK && task->output == NULL
+      && out->output.lvp_bytes_len > 0)
+    {
+      task->output = talloc_memdup (rec->body, out->output.lvp_bytes_val,
+                                    out->output.lvp_bytes_len);
+      task->output_len = out->output.lvp_bytes_len;
+    }
+  if (!call->cancel)
+    ent_usage_add (e, team_of (rec), lv_slice_of (task->spec->kind), -1);
+  learn (call, rec, task, out);
+  step = sub_hear (&rec->core, call->index, link->member->incarnation,
+                   outcome_of (out->status));
+  if (step == SUB_STEP_REQUEUE)
+    {
+      ctr_add (&e->counters, ENT_WASTED_STARTS, 1);
+      ent_enqueue (rec, call->index, 0);
+    }
+  if (rec->core.closing && rec->phase == ENT_OPEN)
+    ent_record_fail (rec, fail_code_of (out->status), "collect",
+                     link->member->name);
+  else
+    ent_record_check (rec);
+}
+
+static void
+note_target (struct ent_link *link, const lvp_outcome *out)
+{
+  if (out->credits > 0)
+    link->credits += (uint32_t)out->credits;
+  link->load = out->load;
+  if (out->status == LVP_LEAVING)
+    link->leaving = true;
+}
+
+static void
+cut (struct ent_call *call)
+{
+  struct ent_link *link = call->link;
+  struct ent_record *rec = ent_record_find (link->entry, &call->sid);
+
+  if (rec != NULL && rec->tasks != NULL)
+    sub_cut (&rec->core, call->index);
+  if (call->since_ns == 0)
+    {
+      call->since_ns = clk_now ();
+      DL_APPEND (link->cut, call);
+    }
+}
+
+static void
+on_outcome (struct onc_conn *conn, int err, XDR *res, void *priv)
+{
+  struct ent_call *call = priv;
+  struct ent_entry *e = call->link->entry;
+  lvp_outcome out;
+
+  (void)conn;
+  if (err != 0 || !WIR_DECODE (lvp_outcome, res, &out))
+    {
+      cut (call);
+      return;
+    }
+  note_target (call->link, &out);
+  hear (call, &out);
+  retire_call (call);
+  WIR_FREE (lvp_outcome, &out);
+  ent_pump (e);
+}
+
+void
+ent_resolve (struct ent_call *call)
+{
+  struct ent_link *link = call->link;
+  struct ent_record *rec = ent_record_find (link->entry, &call->sid);
+  lvp_resolve msg;
+
+  memset (&msg, 0, sizeof msg);
+  msg.sid = wir_sid (&call->sid);
+  msg.ballot = rec != NULL ? rec->ballot : 0;
+  msg.index = call->index;
+  msg.cancel = call->cancel;
+  ctr_add (&link->entry->counters, ENT_RESOLVES, 1);
+  onc_call (link->conn, LVP_RESOLVE, (xdrproc_t)xdr_lvp_resolve, &msg,
+            on_outcome, call);
+}
+
+void
+ent_call_gave_up (struct ent_call *call, const char *why)
+{
+  struct ent_entry *e = call->link->entry;
+  struct ent_record *rec = ent_record_find (e, &call->sid);
+  char peer[ERR_PEER_MAX];
+
+  snprintf (peer, sizeof peer, "%s", call->link->member->name);
+  ctr_add (&e->counters, ENT_GAVE_UP, 1);
+  if (rec != NULL && rec->tasks != NULL)
+    {
+      if (!call->cancel)
+        ent_usage_add (e, team_of (rec),
+                       lv_slice_of (rec->tasks[call->index].spec->kind), -1);
+      sub_give_up (&rec->core, call->index);
+      if (rec->phase == ENT_OPEN)
+        ent_record_fail (rec, "outcome_lost", why, peer);
+      else
+        ent_record_check (rec);
+    }
+  retire_call (call);
+}
+
+static struct ent_call *
+new_call (struct ent_link *link, const struct ent_task *task)
+{
+  struct ent_call *call = talloc_zero (link, struct ent_call);
+
+  call->link = link;
+  memcpy (&call->sid, &task->record->sid, sizeof call->sid);
+  call->index = task->index;
+  link->sent++;
+  return call;
+}
+
+void
+ent_found (struct ent_record *rec, uint32_t i, uint64_t incarnation)
+{
+  struct ent_link *link = ent_link_find (rec->entry, incarnation);
+  struct ent_call *call;
+
+  if (i >= rec->core.count || link == NULL)
+    return;
+  call = new_call (link, &rec->tasks[i]);
+  ent_usage_add (rec->entry, team_of (rec),
+                 lv_slice_of (rec->tasks[i].spec->kind), 1);
+  sub_found (&rec->core, i, incarnation);
+  if (ent_link_ready (link))
+    ent_resolve (call);
+  else
+    cut (call);
+}
+
+static void
+log_place (const struct ent_link *link, const struct ent_task *task,
+           uint64_t waited_ns)
+{
+  const struct ent_record *rec = task->record;
+  char id[SID_TEXT_MAX];
+
+  if (!log_enabled (LOGL_INFO))
+    return;
+  sid_format (&rec->sid, id);
+  log_line (LOGL_INFO, "place",
+            "sid=%s index=%u team=%s urgency=%s kind=%s agent=%s domain=%s "
+            "policy=%s credits=%u sent=%u load=%u queued=%zu waited_ms=%.3f "
+            "expected_ms=%.1f",
+            id, task->index, rec->body->team,
+            req_urgency_name (rec->body->urgency), task->spec->kind,
+            link->member->name, link->member->domain, rec->entry->policy->name,
+            link->credits, link->sent, link->load, rec->entry->queue.count,
+            (double)waited_ns / CLK_MS,
+            (double)task->item.estimate_ns / CLK_MS);
+}
+
+static void
+start_at (struct ent_link *link, struct ent_task *task, uint64_t now_ns)
+{
+  struct ent_entry *e = link->entry;
+  struct ent_record *rec = task->record;
+  struct lv_slice payload = { task->spec->payload, task->spec->payload_len };
+  struct ent_call *call = new_call (link, task);
+  lvp_start msg;
+
+  memset (&msg, 0, sizeof msg);
+  msg.sid = wir_sid (&rec->sid);
+  msg.ballot = rec->ballot;
+  msg.index = task->index;
+  msg.credited = e->policy->credited;
+  msg.kind = task->spec->kind;
+  msg.payload = wir_bytes (payload);
+  call->estimate_ns = task->item.estimate_ns;
+  if (msg.credited)
+    link->credits--;
+  sub_sent (&rec->core, task->index, link->member->incarnation);
+  ent_usage_add (e, team_of (rec), lv_slice_of (task->spec->kind), 1);
+  hlt_probe (&link->health);
+  ctr_add (&e->counters, ENT_STARTS, 1);
+  log_place (link, task,
+             now_ns > task->item.stamp_ns ? now_ns - task->item.stamp_ns : 0);
+  if (onc_call (link->conn, LVP_START, (xdrproc_t)xdr_lvp_start, &msg,
+                on_outcome, call)
+      != 0)
+    cut (call);
+}
+
+static uint32_t
+pick_random (void *priv, uint32_t below)
+{
+  return (uint32_t)gsl_rng_uniform_int (priv, below);
+}
+
+static bool
+drained (const struct ent_entry *e, const struct ent_link *link)
+{
+  return rul_find (e->view->rules, RUL_DRAIN, RUL_DOMAIN,
+                   lv_slice_of (link->member->domain))
+         != NULL;
+}
+
+/* May TASK's submission start at LINK at all, and is LINK fit for work?  */
+static bool
+usable (const struct ent_entry *e, const struct ent_link *link,
+        const struct ent_task *task, uint64_t now_ns)
+{
+  return ent_link_ready (link) && !link->leaving
+         && ros_in_force (link->member, task->record->sid.roster)
+         && hlt_usable (&link->health, now_ns) && !drained (e, link);
+}
+
+static struct ent_link *
+choose (struct ent_entry *e, const struct ent_task *task, uint64_t now_ns)
+{
+  struct ent_link *link;
+  uint32_t n = 0;
+  int chosen;
+
+  if (e->target_cap < e->link_count)
+    {
+      e->target_cap = e->link_count * 2;
+      e->targets = talloc_realloc (e->ev, e->targets, struct plc_target,
+                                   e->target_cap);
+      e->target_links = talloc_realloc (e->ev, e->target_links,
+                                        struct ent_link *, e->target_cap);
+    }
+  DL_FOREACH (e->links, link)
+  {
+    struct plc_target *t = &e->targets[n];
+    e->target_links[n++] = link;
+    t->usable = usable (e, link, task, now_ns);
+    t->near = strcmp (link->member->domain, e->set.domain) == 0;
+    t->credits = link->credits;
+    t->sent = link->sent;
+    t->load = link->load;
+    t->slots = link->slots;
+  }
+  chosen = e->policy->choose (e->targets, n, pick_random, e->rng);
+  return chosen >= 0 ? e->target_links[chosen] : NULL;
+}
+
+static void
+run_pump (struct tevent_context *ev, struct tevent_immediate *im, void *priv)
+{
+  struct ent_entry *e = priv;
+  uint64_t now = clk_now ();
+
+  (void)ev;
+  (void)im;
+  e->pump_set = false;
+  while (e->queue.count > 0)
+    {
+      struct que_item *item = que_peek (&e->queue, now, ent_blocked, e);
+      struct ent_task *task = (struct ent_task *)(void *)item;
+      struct ent_link *link;
+
+      if (item == NULL)
+        break;
+      link = choose (e, task, now);
+      if (link == NULL)
+        break;
+      que_take (&e->queue, item);
+      start_at (link, task, now);
+    }
+  ent_link_demand (e, (uint32_t)e->queue.count, now);
+}
+
+void
+ent_pump (struct ent_entry *e)
+{
+  if (e->pump_set)
+    return;
+  e->pump_set = true;
+  tevent_schedule_immediate (e->pump, e->ev, run_pump, e);
+}
+
+/* Ask the target of a task in flight to stop it.  */
+static void
+cancel_sent (struct ent_record *rec, uint32_t i)
+{
+  struct ent_entry *e = rec->entry;
+  struct ent_link *link = ent_link_find (e, rec->core.task[i].target);
+  struct ent_call *call;
+
+  if (rec->core.task[i].state != SUB_SENT || link == NULL
+      || !ent_link_ready (link))
+    return;
+  call = new_call (link, &rec->tasks[i]);
+  call->cancel = true;
+  ent_resolve (call);
+}
+
+void
+ent_cancel (struct ent_record *rec)
+{
+  if (rec->phase != ENT_OPEN)
+    return;
+  for (uint32_t i = 0; i < rec->core.count; i++)
+    cancel_sent (rec, i);
+  ent_record_fail (rec, "cancelled", "cancel", "");
+}
--- /dev/null
+++ b/src/entry_http.c
@@ -0,0 +1,360 @@
+#include <errno.h>
+#include <microhttpd.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <talloc.h>
+#include <unistd.h>
+#include <urcu-bp.h>
+
+#include "entry.h"
+#include "net.h"
+
+#define IDLE_TIMEOUT_S 120U
+#define CONNECTION_LIMIT 16384U
+#define MINT_MAX 1000U
+#define READ_STEP 4096U
+
+/* One HTTP exchange.  Written by its MHD thread; @reply is set by the
+   dispatch thread before it resumes the connection.  */
+struct exchange
+{
+  struct ent_entry *entry;
+  struct MHD_Connection *connection;
+  char *body;
+  size_t len;
+  size_t cap;
+  bool too_long;
+  struct req_answer *reply;
+};
+
+static void
+drop_reply (void *priv)
+{
+  req_answer_put (priv);
+}
+
+static enum MHD_Result
+send_answer (struct MHD_Connection *connection, struct req_answer *a,
+             const char *type)
+{
+  struct MHD_Response *response
+      = MHD_create_response_from_buffer_with_free_callback_cls (
+          a->len, a->data, drop_reply, a);
+  enum MHD_Result result;
+
+  MHD_add_response_header (response, "Content-Type", type);
+  result = MHD_queue_response (connection, a->status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static enum MHD_Result
+send_text (struct MHD_Connection *connection, unsigned status,
+           const char *text)
+{
+  return send_answer (connection, req_answer_new (status, lv_slice_of (text)),
+                      "text/plain; charset=utf-8");
+}
+
+static enum MHD_Result
+send_refusal (struct exchange *x, const struct req_refusal *why)
+{
+  ctr_add (&x->entry->counters, ENT_REFUSALS, 1);
+  return send_answer (x->connection, req_answer_refusal (why, NULL),
+                      "application/json");
+}
+
+static void
+answer_http (struct req_request *r, struct req_answer *a)
+{
+  struct exchange *x = r->origin;
+
+  x->reply = req_answer_get (a);
+  atomic_fetch_sub (&x->entry->http_open, 1);
+  MHD_resume_connection (x->connection);
+}
+
+/* Hand R to the dispatch thread; the connection sleeps meanwhile.  */
+static enum MHD_Result
+hand_over (struct exchange *x, struct req_request *r)
+{
+  struct ent_entry *e = x->entry;
+  uint64_t one = 1;
+
+  r->answer = answer_http;
+  r->origin = x;
+  atomic_fetch_add (&e->http_open, 1);
+  MHD_suspend_connection (x->connection);
+  cds_wfcq_node_init (&r->node);
+  /* The queue tells whether it was empty: only then is a wake-up due.  */
+  if (!cds_wfcq_enqueue (&e->intake_head, &e->intake_tail, &r->node))
+    if (write (e->wake_fd, &one, sizeof one) < 0)
+      abort ();
+  return MHD_YES;
+}
+
+static uint64_t
+argument (struct MHD_Connection *connection, const char *name,
+          uint64_t fallback)
+{
+  const char *text
+      = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, name);
+
+  return text != NULL ? strtoull (text, NULL, 10) : fallback;
+}
+
+static void
+read_wait (struct exchange *x, struct req_request *r)
+{
+  r->wait_ms = argument (x->connection, "wait_ms", UINT64_MAX);
+  r->wait = r->wait_ms > 0;
+}
+
+/* Early refusals that need no more than the published view.  */
+static bool
+view_refuses (struct ent_entry *e, struct req_refusal *why)
+{
+  const struct ent_view *view;
+  bool refused = true;
+
+  rcu_read_lock ();
+  view = rcu_dereference (e->view);
+  if (view->leaving)
+    req_refuse (why, 503, "leaving", "accept", true,
+                "this entry is shutting down; ask another");
+  else if (!view->ready)
+    req_refuse (why, 503, "not_ready", "accept", true,
+                "no rules or no members are known yet");
+  else
+    refused = false;
+  rcu_read_unlock ();
+  why->retry_after_ms = 1000;
+  return refused;
+}
+
+static enum MHD_Result
+take_submission (struct exchange *x, enum req_op op)
+{
+  struct req_request *r = req_new (op);
+  struct req_refusal why;
+  const char *key = MHD_lookup_connection_value (
+      x->connection, MHD_HEADER_KIND, "Idempotency-Key");
+  enum MHD_Result result;
+
+  r->raw = talloc_memdup (r, x->body, x->len);
+  r->raw_len = x->len;
+  if (key != NULL)
+    r->key = talloc_strdup (r, key);
+  ctr_add (&x->entry->counters, ENT_REQUESTS, 1);
+  if (!req_parse (r, &why) || view_refuses (x->entry, &why))
+    {
+      /* An id or key may have run before, whatever this instance knows.  */
+      if (r->has_sid || (r->key != NULL && r->count > 0))
+        why.not_run = false;
+      result = send_refusal (x, &why);
+      talloc_free (r);
+      return result;
+    }
+  read_wait (x, r);
+  return hand_over (x, r);
+}
+
+static enum MHD_Result
+take_by_id (struct exchange *x, enum req_op op, const char *text)
+{
+  struct req_request *r = req_new (op);
+  struct req_refusal why;
+
+  if (sid_parse (&r->sid, lv_slice_of (text)) != 0)
+    {
+      talloc_free (r);
+      req_refuse (&why, 400, "bad_id", "parse", true,
+                  "found %.100s, expected an id from POST /v1/submissions",
+                  text);
+      return send_refusal (x, &why);
+    }
+  r->has_sid = true;
+  read_wait (x, r);
+  return hand_over (x, r);
+}
+
+static enum MHD_Result
+take_mint (struct exchange *x)
+{
+  struct req_request *r;
+  uint64_t count = argument (x->connection, "count", 1);
+  struct req_refusal why;
+
+  if (view_refuses (x->entry, &why))
+    return send_refusal (x, &why);
+  if (count < 1 || count > MINT_MAX)
+    {
+      req_refuse (&why, 400, "bad_count", "parse", true,
+                  "key count: expected 1 to %u", MINT_MAX);
+      return send_refusal (x, &why);
+    }
+  r = req_new (REQ_MINT);
+  r->count = (uint32_t)count;
+  return hand_over (x, r);
+}
+
+static enum MHD_Result
+take_probe (struct exchange *x, const char *url)
+{
+  struct req_refusal why;
+  enum MHD_Result result;
+  char *text;
+
+  if (strcmp (url, "/healthz") == 0)
+    return send_text (x->connection, 200, "ok\n");
+  if (strcmp (url, "/readyz") == 0)
+    return view_refuses (x->entry, &why)
+               ? send_text (x->connection, 503, "not ready\n")
+               : send_text (x->connection, 200, "ready\n");
+  text = ctr_text (NULL, &x->entry->counters);
+  result = send_text (x->connection, 200, text);
+  talloc_free (text);
+  return result;
+}
+
+static bool
+is_probe (const char *url)
+{
+  return strcmp (url, "/metrics") == 0 || strcmp (url, "/healthz") == 0
+         || strcmp (url, "/readyz") == 0;
+}
+
+static enum MHD_Result
+route (struct exchange *x, const char *method, const char *url)
+{
+  static const char jobs[] = "/v1/jobs/";
+  bool get = strcmp (method, "GET") == 0;
+  bool post = strcmp (method, "POST") == 0;
+  bool by_id = strncmp (url, jobs, sizeof jobs - 1) == 0;
+  struct req_refusal why;
+
+  if (get && is_probe (url))
+    return take_probe (x, url);
+  if (get && strcmp (url, "/v1/rules") == 0)
+    return hand_over (x, req_new (REQ_RULES));
+  if (get && strcmp (url, "/v1/status") == 0)
+    return hand_over (x, req_new (REQ_STATUS));
+  if (post
+      && (strcmp (url, "/v1/jobs") == 0 || strcmp (url, "/v1/requests") == 0))
+    return take_submission (x, REQ_SUBMIT);
+  if (post && strcmp (url, "/v1/explain") == 0)
+    return take_submission (x, REQ_EXPLAIN);
+  if (post && strcmp (url, "/v1/submissions") == 0)
+    return take_mint (x);
+  if (by_id && get)
+    return take_by_id (x, REQ_POLL, url + sizeof jobs - 1);
+  if (by_id && strcmp (method, "DELETE") == 0)
+    return take_by_id (x, REQ_CANCEL, url + sizeof jobs - 1);
+  req_refuse (&why, 404, "not_found", "accept", true, "no %.16s %.100s",
+              method, url);
+  return send_refusal (x, &why);
+}
+
+static void
+collect (struct exchange *x, const char *data, size_t len)
+{
+  if (x->len + len > REQ_BODY_MAX)
+    {
+      x->too_long = true;
+      return;
+    }
+  if (x->len + len > x->cap)
+    {
+      x->cap = (x->len + len) * 2;
+      if (x->cap < READ_STEP)
+        x->cap = READ_STEP;
+      x->body = realloc (x->body, x->cap);
+      if (x->body == NULL)
+        abort ();
+    }
+  memcpy (x->body + x->len, data, len);
+  x->len += len;
+}
+
+static enum MHD_Result
+handle (void *priv, struct MHD_Connection *connection, const char *url,
+        const char *method, const char *version, const char *data,
+        size_t *data_size, void **request)
+{
+  struct exchange *x = *request;
+  struct req_refusal why;
+
+  (void)version;
+  if (x == NULL)
+    {
+      x = calloc (1, sizeof *x);
+      if (x == NULL)
+        return MHD_NO;
+      x->entry = priv;
+      x->connection = connection;
+      *request = x;
+      return MHD_YES;
+    }
+  if (*data_size > 0)
+    {
+      collect (x, data, *data_size);
+      *data_size = 0;
+      return MHD_YES;
+    }
+  if (x->reply != NULL)
+    {
+      struct req_answer *reply = x->reply;
+      x->reply = NULL;
+      return send_answer (connection, reply, "application/json");
+    }
+  if (x->too_long)
+    {
+      req_refuse (&why, 413, "too_large", "accept", true,
+                  "body longer than %u bytes", REQ_BODY_MAX);
+      return send_refusal (x, &why);
+    }
+  return route (x, method, url);
+}
+
+static void
+completed (void *priv, struct MHD_Connection *connection, void **request,
+           enum MHD_RequestTerminationCode code)
+{
+  struct exchange *x = *request;
+
+  (void)priv;
+  (void)connection;
+  (void)code;
+  if (x == NULL)
+    return;
+  req_answer_put (x->reply);
+  free (x->body);
+  free (x);
+  *request = NULL;
+}
+
+int
+ent_http_open (struct ent_entry *e)
+{
+  e->wake_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
+  cds_wfcq_init (&e->intake_head, &e->intake_tail);
+  e->http_fd = net_listen (e->set.http);
+  if (e->http_fd < 0)
+    return e->http_fd;
+  e->http = MHD_start_daemon (
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+      handle, e, MHD_OPTION_LISTEN_SOCKET, e->http_fd,
+      MHD_OPTION_THREAD_POOL_SIZE, (unsigned)e->set.http_threads,
+      MHD_OPTION_CONNECTION_LIMIT, CONNECTION_LIMIT,
+      MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
+      MHD_OPTION_NOTIFY_COMPLETED, completed, NULL, MHD_OPTION_END);
+  return e->http != NULL ? 0 : -EIO;
+}
+
+void
+ent_http_quiet (struct ent_entry *e)
+{
+  MHD_quiesce_daemon (e->http);
+}
--- /dev/null
+++ b/src/entry_link.c
@@ -0,0 +1,326 @@
+#include <errno.h>
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+#include <utlist.h>
+
+#include "clock.h"
+#include "entry.h"
+#include "logline.h"
+#include "net.h"
+#include "wire.h"
+
+#define RETRY_NS (100 * CLK_MS)
+/* Least time between two reports of a growing queue to one agent.  */
+#define DEMAND_GAP_NS (2 * CLK_MS)
+
+bool
+ent_link_ready (const struct ent_link *link)
+{
+  return link->conn != NULL && link->hello;
+}
+
+struct ent_link *
+ent_link_find (const struct ent_entry *e, uint64_t incarnation)
+{
+  struct ros_member *m = ros_find (&e->roster, incarnation);
+
+  return m != NULL ? m->priv : NULL;
+}
+
+static void
+give_credits_back (struct ent_link *link, uint32_t n)
+{
+  u_int back = n < link->credits ? n : link->credits;
+
+  if (back == 0)
+    return;
+  link->credits -= back;
+  ctr_add (&link->entry->counters, ENT_RETURNS, 1);
+  onc_call (link->conn, LVP_RETURN, (xdrproc_t)xdr_u_int, &back, NULL, NULL);
+}
+
+static void
+on_call (struct onc_conn *conn, uint32_t xid, uint32_t proc, XDR *args,
+         void *priv)
+{
+  struct ent_link *link = priv;
+  int change = 0;
+
+  (void)xid;
+  if (proc != LVP_GRANT || !xdr_int (args, &change))
+    {
+      onc_close (conn, -EPROTO, "unknown procedure");
+      return;
+    }
+  if (change < 0)
+    give_credits_back (link, (uint32_t)-change);
+  else
+    link->credits += (uint32_t)change;
+  ent_pump (link->entry);
+}
+
+static void
+on_closed (struct onc_conn *conn, const struct err_error *err, void *priv)
+{
+  struct ent_link *link = priv;
+
+  (void)conn;
+  if (link->hello)
+    log_line (LOGL_WARN, "link-end",
+              "agent=%s step=%s why=\"%s\" in_flight=%u", link->member->name,
+              err->step, err->detail, link->sent);
+  link->conn = NULL;
+  link->hello = false;
+  link->credits = 0;
+  link->retry_ns = clk_now () + RETRY_NS;
+  if (link->lost_ns == 0)
+    link->lost_ns = clk_now ();
+}
+
+static void
+give_up_all (struct ent_link *link, const char *why)
+{
+  struct ent_call *call;
+  struct ent_call *next;
+
+  DL_FOREACH_SAFE (link->cut, call, next)
+  {
+    ent_call_gave_up (call, why);
+  }
+}
+
+static void
+reconcile (struct ent_link *link)
+{
+  struct ent_call *call;
+  struct ent_call *next;
+
+  DL_FOREACH_SAFE (link->cut, call, next)
+  {
+    DL_DELETE (link->cut, call);
+    call->since_ns = 0;
+    ent_resolve (call);
+  }
+}
+
+static void
+on_hello (struct onc_conn *conn, int err, XDR *res, void *priv)
+{
+  struct ent_link *link = priv;
+  lvp_hello_res hello;
+
+  if (err != 0)
+    return;
+  if (!WIR_DECODE (lvp_hello_res, res, &hello))
+    {
+      onc_close (conn, -EBADMSG, "hello cannot be decoded");
+      return;
+    }
+  if (hello.incarnation != link->member->incarnation)
+    {
+      /* Another process answers there: the one we knew is dead.  */
+      link->dead = true;
+      give_up_all (link, "target-replaced");
+      onc_close (conn, -ESTALE, "another incarnation");
+    }
+  else
+    {
+      link->hello = true;
+      link->lost_ns = 0;
+      link->slots = hello.slots;
+      link->leaving = hello.leaving;
+      log_line (LOGL_INFO, "link", "agent=%s domain=%s slots=%u session=%" PRIu64,
+                link->member->name, link->member->domain, link->slots,
+                link->session);
+      reconcile (link);
+      ent_pump (link->entry);
+    }
+  WIR_FREE (lvp_hello_res, &hello);
+}
+
+static void
+connect_link (struct ent_link *link)
+{
+  struct ent_entry *e = link->entry;
+  struct onc_handler handler = { on_call, on_closed, link };
+  char address[NET_TEXT_MAX];
+  lvp_hello hello;
+  int fd;
+
+  net_format (link->member->addr, link->member->port, address);
+  link->retry_ns = clk_now () + RETRY_NS;
+  fd = net_connect (address);
+  if (fd < 0)
+    return;
+  memset (&hello, 0, sizeof hello);
+  hello.role = LVP_ENTRY;
+  hello.name = e->set.name;
+  hello.incarnation = e->incarnation;
+  hello.session = ++link->session;
+  hello.roster = e->roster.offset;
+  link->conn = onc_attach (e->ev, e->ev, fd, link->member->name, &handler);
+  link->beat_ns = clk_now ();
+  onc_call (link->conn, LVP_HELLO, (xdrproc_t)xdr_lvp_hello, &hello, on_hello,
+            link);
+}
+
+void
+ent_link_add (struct ent_entry *e, struct ros_member *m)
+{
+  struct ent_link *link;
+
+  if (m->priv != NULL)
+    return;
+  link = talloc_zero (e->ev, struct ent_link);
+  link->entry = e;
+  link->member = m;
+  link->slots = m->slots;
+  link->lost_ns = clk_now ();
+  m->priv = link;
+  DL_APPEND (e->links, link);
+  e->link_count++;
+  e->fleet.targets++;
+  connect_link (link);
+}
+
+void
+ent_link_end (struct ent_entry *e, struct ros_member *m)
+{
+  struct ent_link *link = m->priv;
+
+  (void)e;
+  if (link != NULL)
+    link->leaving = true;
+}
+
+static void
+remove_link (struct ent_link *link)
+{
+  struct ent_entry *e = link->entry;
+
+  hlt_remove (&e->fleet, &link->health);
+  link->member->priv = NULL;
+  DL_DELETE (e->links, link);
+  e->link_count--;
+  if (link->conn != NULL)
+    {
+      struct onc_conn *conn = link->conn;
+      link->conn = NULL;
+      onc_close (conn, -ECONNABORTED, "no longer a member");
+    }
+  talloc_free (link);
+}
+
+static void
+on_beat (struct onc_conn *conn, int err, XDR *res, void *priv)
+{
+  struct ent_link *link = priv;
+  lvp_beat_res beat;
+
+  (void)conn;
+  if (err != 0 || !xdr_lvp_beat_res (res, &beat))
+    return;
+  link->load = beat.running;
+  if (beat.leaving)
+    link->leaving = true;
+}
+
+static void
+send_beat (struct ent_link *link, uint32_t queued, uint64_t now_ns)
+{
+  struct ent_entry *e = link->entry;
+  lvp_beat beat;
+
+  beat.queued = queued;
+  beat.urgency = que_most_urgent (&e->queue);
+  beat.roster = e->roster.offset;
+  beat.rules = e->rules.version;
+  link->beat_ns = now_ns;
+  link->demand = queued;
+  onc_call (link->conn, LVP_BEAT, (xdrproc_t)xdr_lvp_beat, &beat, on_beat,
+            link);
+}
+
+/* An agent that nobody reaches is ended in the log, so that the homes of keys
+   move on and its name is free.  */
+static void
+declare_gone (struct ent_link *link, uint64_t now_ns)
+{
+  struct ent_entry *e = link->entry;
+
+  if (link->member->ended != 0 || link->lost_ns == 0
+      || now_ns - link->lost_ns < e->set.gone_ms * CLK_MS)
+    return;
+  link->lost_ns = now_ns;
+  log_line (LOGL_WARN, "declare-gone", "agent=%s unreachable_ms=%" PRIu64,
+            link->member->name, e->set.gone_ms);
+  ent_log_gone (e, link->member);
+}
+
+static void
+give_up_old (struct ent_link *link, uint64_t now_ns)
+{
+  struct ent_call *call;
+  struct ent_call *next;
+
+  DL_FOREACH_SAFE (link->cut, call, next)
+  {
+    if (now_ns - call->since_ns >= link->entry->set.resolve_ms * CLK_MS)
+      ent_call_gave_up (call, "resolve-timeout");
+  }
+}
+
+static void
+tick_link (struct ent_link *link, uint64_t now_ns)
+{
+  struct ent_entry *e = link->entry;
+
+  if (link->conn != NULL
+      && now_ns - onc_last_heard (link->conn) > e->set.silent_ms * CLK_MS)
+    {
+      ctr_add (&e->counters, ENT_LINKS_DROPPED, 1);
+      onc_close (link->conn, -ETIMEDOUT, "silent for too long");
+    }
+  if (link->conn == NULL && !link->dead && now_ns >= link->retry_ns)
+    connect_link (link);
+  if (ent_link_ready (link)
+      && now_ns - link->beat_ns >= e->set.heartbeat_ms * CLK_MS)
+    send_beat (link, (uint32_t)e->queue.count, now_ns);
+  give_up_old (link, now_ns);
+  declare_gone (link, now_ns);
+  if (link->member->ended != 0 && link->sent == 0
+      && (link->dead || link->conn == NULL))
+    remove_link (link);
+}
+
+void
+ent_link_tick (struct ent_entry *e, uint64_t now_ns)
+{
+  struct ent_link *link;
+  struct ent_link *next;
+
+  DL_FOREACH_SAFE (e->links, link, next)
+  {
+    tick_link (link, now_ns);
+  }
+}
+
+void
+ent_link_demand (struct ent_entry *e, uint32_t queued, uint64_t now_ns)
+{
+  struct ent_link *link;
+
+  if (!e->policy->credited)
+    return;
+  DL_FOREACH (e->links, link)
+  {
+    bool grown = queued > link->demand * 2 || (queued > 0) != (link->demand > 0);
+    if (!ent_link_ready (link) || link->leaving || !grown
+        || now_ns - link->demand_ns < DEMAND_GAP_NS)
+      continue;
+    link->demand_ns = now_ns;
+    ctr_add (&e->counters, ENT_DEMANDS, 1);
+    send_beat (link, queued, now_ns);
+  }
+}
--- /dev/null
+++ b/src/entry_log.c
@@ -0,0 +1,240 @@
+#include <inttypes.h>
+#include <string.h>
+#include <talloc.h>
+#include <urcu-bp.h>
+#include <utlist.h>
+
+#include "clock.h"
+#include "entropy.h"
+#include "entry.h"
+#include "logline.h"
+
+/* After an acceptance, some entry repeats it for late readers.  */
+#define STATE_MIN_NS (200 * CLK_MS)
+#define SYNC_NS (200 * CLK_MS)
+
+unsigned
+ent_entries (const struct ent_entry *e)
+{
+  const struct ros_member *m;
+  unsigned n = 0;
+
+  LL_FOREACH (e->roster.members, m)
+  n += m->role == ROS_ENTRY && m->ended == 0;
+  return n > 0 ? n : 1;
+}
+
+static void
+append_done (int err, void *priv)
+{
+  struct ent_entry *e = priv;
+
+  if (err != 0)
+    e->next_refresh_ns = clk_now () + CLK_S;
+}
+
+static uint64_t
+jitter (uint64_t span_ns)
+{
+  return rnd_u64 () % (span_ns + 1);
+}
+
+static void
+announce (struct ent_entry *e, uint64_t now_ns)
+{
+  char *record = ros_join_record (e->ev, &e->self, e->joined);
+
+  e->announced = true;
+  e->next_refresh_ns = now_ns + e->set.refresh_s * CLK_S
+                       - jitter (e->set.refresh_s * CLK_S / 4);
+  lgt_append (e->members, record, append_done, e);
+  talloc_free (record);
+}
+
+static void
+member_changed (struct ent_entry *e, struct ros_member *m)
+{
+  if (m->incarnation == e->incarnation)
+    {
+      e->joined = m->ended == 0 ? m->joined : 0;
+      if (m->ended != 0)
+        e->next_refresh_ns = 0;
+      return;
+    }
+  log_line (LOGL_INFO, "member",
+            "member=%s incarnation=%016" PRIx64 " domain=%s state=%s "
+            "offset=%" PRIu64,
+            m->name, m->incarnation, m->domain,
+            m->ended == 0 ? "joined" : "ended", e->roster.offset);
+  if (m->role != ROS_AGENT)
+    return;
+  if (m->ended == 0)
+    ent_link_add (e, m);
+  else
+    ent_link_end (e, m);
+}
+
+static void
+members_begin (uint64_t first, void *priv)
+{
+  struct ent_entry *e = priv;
+
+  ros_begin (&e->roster, first);
+}
+
+static void
+members_record (uint64_t offset, uint64_t log_ms, struct lv_slice data,
+                void *priv)
+{
+  struct ent_entry *e = priv;
+  struct ros_member *m = ros_apply (&e->roster, offset, log_ms, data);
+
+  if (m != NULL)
+    member_changed (e, m);
+}
+
+static void
+members_caught_up (void *priv)
+{
+  struct ent_entry *e = priv;
+  bool first = !e->members_known;
+
+  e->members_known = true;
+  if (!e->announced && !e->leaving)
+    announce (e, clk_now ());
+  if (first)
+    ent_publish_view (e);
+}
+
+void
+ent_log_members_from (struct ent_entry *e, uint64_t offset,
+                      struct lv_slice dump)
+{
+  struct ros_member *m;
+
+  if (!ros_load (&e->roster, offset, clk_wall_ms (), dump))
+    return;
+  e->members_known = true;
+  lgt_seek (e->members, offset + 1);
+  LL_FOREACH (e->roster.members, m)
+  {
+    if (m->role == ROS_AGENT && m->ended == 0)
+      ent_link_add (e, m);
+  }
+  ent_publish_view (e);
+}
+
+void
+ent_log_rules_changed (struct ent_entry *e, const char *source)
+{
+  uint64_t now = clk_now ();
+
+  log_line (LOGL_INFO, "rules",
+            "version=%" PRIu64 " offset=%" PRIu64 " source=%s lag_ms=%" PRId64,
+            e->rules.version, e->rules.offset, source,
+            e->rules.accepted_ms > 0
+                ? (int64_t)(clk_wall_ms () - e->rules.accepted_ms)
+                : -1);
+  ctr_set_gauge (&e->counters, ENT_RULES_VERSION, e->rules.version);
+  e->next_state_ns = now + STATE_MIN_NS + jitter (CLK_S);
+  ent_publish_view (e);
+}
+
+static void
+rules_begin (uint64_t first, void *priv)
+{
+  struct ent_entry *e = priv;
+  bool knew = e->rules.known;
+
+  rvs_begin (&e->rules, first);
+  if (knew != e->rules.known)
+    ent_publish_view (e);
+}
+
+static void
+rules_record (uint64_t offset, uint64_t log_ms, struct lv_slice data,
+              void *priv)
+{
+  static const char *const fates[]
+      = { "accepted", "lost", "held", "nothing", "foreign" };
+  struct ent_entry *e = priv;
+  uint64_t before = e->rules.version;
+  enum rvs_fate fate = rvs_apply (&e->rules, offset, log_ms, data);
+
+  if (fate == RVS_FOREIGN || fate == RVS_LOST)
+    log_line (LOGL_WARN, "rules-record", "offset=%" PRIu64 " fate=%s", offset,
+              fates[fate]);
+  if (fate == RVS_NOTHING)
+    /* Somebody has just repeated the state.  */
+    e->next_state_ns = clk_now () + e->set.refresh_s * CLK_S
+                       + jitter (e->set.refresh_s * CLK_S);
+  if (e->rules.version != before)
+    ent_log_rules_changed (e, "log");
+}
+
+static void
+rules_caught_up (void *priv)
+{
+  struct ent_entry *e = priv;
+
+  if (e->rules.known && !e->view->ready)
+    ent_publish_view (e);
+}
+
+void
+ent_log_open (struct ent_entry *e)
+{
+  struct lgt_handler members
+      = { members_begin, members_record, members_caught_up, e };
+  struct lgt_handler rules
+      = { rules_begin, rules_record, rules_caught_up, e };
+
+  e->members = lgt_open (e->ev, e->ev, e->client, e->set.log_url, "members",
+                         1, &members);
+  e->rules_tail = lgt_open (e->ev, e->ev, e->client, e->set.log_url, "rules",
+                            1, &rules);
+}
+
+static void
+repeat_state (struct ent_entry *e, uint64_t now_ns)
+{
+  char *record = rvs_state_record (e->ev, &e->rules);
+
+  e->next_state_ns
+      = now_ns + e->set.refresh_s * CLK_S + jitter (e->set.refresh_s * CLK_S);
+  lgt_append (e->rules_tail, record, NULL, NULL);
+  talloc_free (record);
+}
+
+void
+ent_log_tick (struct ent_entry *e, uint64_t now_ns)
+{
+  if (e->announced && !e->leaving && now_ns >= e->next_refresh_ns)
+    announce (e, now_ns);
+  if (e->rules.known && e->rules.version > 0
+      && lgt_reachable (e->rules_tail) && now_ns >= e->next_state_ns)
+    repeat_state (e, now_ns);
+  if ((!e->rules.known || !e->members_known) && now_ns >= e->next_sync_ns)
+    {
+      e->next_sync_ns = now_ns + SYNC_NS;
+      ent_peer_sync (e);
+    }
+}
+
+void
+ent_log_leave (struct ent_entry *e)
+{
+  char *record = ros_end_record (e->ev, e->incarnation, "left");
+
+  lgt_append (e->members, record, NULL, NULL);
+  talloc_free (record);
+}
+
+void
+ent_log_gone (struct ent_entry *e, const struct ros_member *m)
+{
+  char *record = ros_end_record (e->ev, m->incarnation, "gone");
+
+  lgt_append (e->members, record, NULL, NULL);
+  talloc_free (record);
+}
--- /dev/null
+++ b/src/entry_peer.c
@@ -0,0 +1,590 @@
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+#include <utlist.h>
+
+#include "clock.h"
+#include "entry.h"
+#include "logline.h"
+#include "net.h"
+#include "wire.h"
+
+#define RETRY_NS (200 * CLK_MS)
+/* An entry that another one has not heard for this long may be taken over
+   from; it counts itself in doubt somewhat earlier.  */
+#define UNREACHABLE_NS (1500 * CLK_MS)
+#define DOUBT_NS (1000 * CLK_MS)
+
+/* A request that waits for the answer of another entry.  */
+struct forward
+{
+  struct ent_peer *peer;
+  struct req_request *request;
+  struct sid_id sid;
+  struct forward *prev;
+  struct forward *next;
+};
+
+/* Another entry: the connection that this one opened to it.  */
+struct ent_peer
+{
+  struct ent_entry *entry;
+  uint64_t incarnation; /* as expected */
+  uint32_t addr;
+  uint32_t port;
+  struct onc_conn *conn;
+  bool hello;
+  bool replaced; /* another incarnation answers: the expected one is dead */
+  uint64_t session;
+  uint64_t retry_ns;
+  uint64_t beat_ns;
+  uint64_t heard_ns;
+  uint64_t used_ns;
+  struct forward *waiting;
+  struct forward *sent;
+  struct ent_peer *prev;
+  struct ent_peer *next;
+};
+
+/* A connection that another entry opened to this one.  */
+struct guest
+{
+  struct ent_entry *entry;
+  struct onc_conn *conn;
+  uint32_t pending;
+  bool closed;
+};
+
+static void
+take_over (struct ent_peer *peer, struct forward *f)
+{
+  struct ent_entry *e = peer->entry;
+  struct req_request *r = f->request;
+  struct sid_id sid = f->sid;
+  uint64_t ballot = r->rival_ballot;
+  struct req_refusal why;
+
+  talloc_free (f);
+  if (r->op == REQ_SUBMIT && ballot > 0)
+    ent_adopt_overrule (e, r, &sid, ballot);
+  else if (r->op == REQ_SUBMIT)
+    ent_adopt (e, r, &sid);
+  else
+    {
+      req_refuse (&why, 503, "owner_gone", "forward", false,
+                  "the owner cannot be reached; send the submission again "
+                  "with the same id");
+      ent_refuse (e, r, &why);
+    }
+}
+
+static void
+take_over_all (struct ent_peer *peer)
+{
+  struct forward *f;
+  struct forward *next;
+
+  DL_FOREACH_SAFE (peer->sent, f, next)
+  {
+    DL_DELETE (peer->sent, f);
+    take_over (peer, f);
+  }
+  DL_FOREACH_SAFE (peer->waiting, f, next)
+  {
+    DL_DELETE (peer->waiting, f);
+    take_over (peer, f);
+  }
+}
+
+static void
+on_forwarded (struct onc_conn *conn, int err, XDR *res, void *priv)
+{
+  struct forward *f = priv;
+  struct ent_peer *peer = f->peer;
+  lvp_forward_res answer;
+
+  (void)conn;
+  DL_DELETE (peer->sent, f);
+  if (err != 0 || !WIR_DECODE (lvp_forward_res, res, &answer))
+    {
+      /* Ids make this idempotent: ask again once connected.  */
+      DL_APPEND (peer->waiting, f);
+      return;
+    }
+  req_reply (f->request,
+             req_answer_new (answer.http_status, wir_slice (&answer.body)));
+  WIR_FREE (lvp_forward_res, &answer);
+  talloc_free (f);
+}
+
+static void
+send_forward (struct ent_peer *peer, struct forward *f)
+{
+  static const lvp_op ops[] = { [REQ_SUBMIT] = LVP_SUBMIT,
+                                [REQ_POLL] = LVP_POLL,
+                                [REQ_CANCEL] = LVP_CANCEL };
+  struct req_request *r = f->request;
+  struct lv_slice body = { r->raw, r->raw_len };
+  lvp_forward msg;
+
+  memset (&msg, 0, sizeof msg);
+  msg.op = ops[r->op];
+  msg.sid = wir_sid (&f->sid);
+  msg.wait_ms = r->wait_ms < UINT32_MAX ? (u_int)r->wait_ms : UINT32_MAX;
+  msg.hops = r->hops;
+  msg.body = wir_bytes (body);
+  DL_APPEND (peer->sent, f);
+  if (onc_call (peer->conn, LVP_FORWARD, (xdrproc_t)xdr_lvp_forward, &msg,
+                on_forwarded, f)
+      != 0)
+    {
+      DL_DELETE (peer->sent, f);
+      DL_APPEND (peer->waiting, f);
+    }
+}
+
+static void
+send_waiting (struct ent_peer *peer)
+{
+  struct forward *f;
+  struct forward *next;
+
+  DL_FOREACH_SAFE (peer->waiting, f, next)
+  {
+    DL_DELETE (peer->waiting, f);
+    send_forward (peer, f);
+  }
+}
+
+static void
+on_call (struct onc_conn *conn, uint32_t xid, uint32_t proc, XDR *args,
+         void *priv)
+{
+  (void)xid;
+  (void)proc;
+  (void)args;
+  (void)priv;
+  onc_close (conn, -EPROTO, "unknown procedure");
+}
+
+static void
+on_closed (struct onc_conn *conn, const struct err_error *err, void *priv)
+{
+  struct ent_peer *peer = priv;
+
+  (void)conn;
+  (void)err;
+  peer->conn = NULL;
+  peer->hello = false;
+  peer->retry_ns = clk_now () + RETRY_NS;
+}
+
+static void
+on_hello (struct onc_conn *conn, int err, XDR *res, void *priv)
+{
+  struct ent_peer *peer = priv;
+  lvp_hello_res hello;
+
+  if (err != 0 || !WIR_DECODE (lvp_hello_res, res, &hello))
+    return;
+  peer->heard_ns = clk_now ();
+  if (peer->incarnation == 0)
+    peer->incarnation = hello.incarnation;
+  if (hello.incarnation == peer->incarnation)
+    {
+      peer->hello = true;
+      send_waiting (peer);
+    }
+  else
+    {
+      peer->replaced = true;
+      onc_close (conn, -ESTALE, "another incarnation");
+      take_over_all (peer);
+    }
+  WIR_FREE (lvp_hello_res, &hello);
+}
+
+static void
+connect_peer (struct ent_peer *peer)
+{
+  struct ent_entry *e = peer->entry;
+  struct onc_handler handler = { on_call, on_closed, peer };
+  char address[NET_TEXT_MAX];
+  lvp_hello hello;
+  int fd;
+
+  net_format (peer->addr, peer->port, address);
+  peer->retry_ns = clk_now () + RETRY_NS;
+  fd = net_connect (address);
+  if (fd < 0)
+    return;
+  memset (&hello, 0, sizeof hello);
+  hello.role = LVP_ENTRY;
+  hello.name = e->set.name;
+  hello.incarnation = e->incarnation;
+  hello.session = ++peer->session;
+  peer->conn = onc_attach (e->ev, e->ev, fd, address, &handler);
+  peer->beat_ns = clk_now ();
+  onc_call (peer->conn, LVP_HELLO, (xdrproc_t)xdr_lvp_hello, &hello, on_hello,
+            peer);
+}
+
+static struct ent_peer *
+obtain_peer (struct ent_entry *e, uint64_t incarnation, uint32_t addr,
+             uint32_t port)
+{
+  struct ent_peer *peer;
+
+  DL_FOREACH (e->peers, peer)
+  {
+    if ((incarnation == 0 || peer->incarnation == incarnation)
+        && peer->addr == addr && peer->port == port)
+      return peer;
+  }
+  peer = talloc_zero (e->ev, struct ent_peer);
+  peer->entry = e;
+  peer->incarnation = incarnation;
+  peer->addr = addr;
+  peer->port = port;
+  peer->heard_ns = clk_now ();
+  DL_APPEND (e->peers, peer);
+  connect_peer (peer);
+  return peer;
+}
+
+void
+ent_forward (struct ent_entry *e, struct req_request *r,
+             const struct sid_id *sid, uint64_t incarnation, uint32_t addr,
+             uint32_t port)
+{
+  struct ent_peer *peer = obtain_peer (e, incarnation, addr, port);
+  struct forward *f = talloc_zero (e->ev, struct forward);
+
+  r->hops++;
+  f->peer = peer;
+  f->request = r;
+  memcpy (&f->sid, sid, sizeof *sid);
+  peer->used_ns = clk_now ();
+  ctr_add (&e->counters, ENT_FORWARDED, 1);
+  if (log_enabled (LOGL_INFO))
+    {
+      char id[SID_TEXT_MAX];
+      char address[NET_TEXT_MAX];
+      sid_format (sid, id);
+      net_format (addr, port, address);
+      log_line (LOGL_INFO, "forward", "sid=%s owner=%s hops=%u", id, address,
+                r->hops);
+    }
+  if (peer->replaced)
+    take_over (peer, f);
+  else if (peer->hello)
+    send_forward (peer, f);
+  else
+    DL_APPEND (peer->waiting, f);
+}
+
+static void
+on_beat (struct onc_conn *conn, int err, XDR *res, void *priv)
+{
+  struct ent_peer *peer = priv;
+
+  (void)conn;
+  (void)res;
+  if (err == 0)
+    peer->heard_ns = clk_now ();
+}
+
+static void
+send_beat (struct ent_peer *peer, uint64_t now_ns)
+{
+  lvp_beat beat;
+
+  memset (&beat, 0, sizeof beat);
+  beat.roster = peer->entry->roster.offset;
+  beat.rules = peer->entry->rules.version;
+  peer->beat_ns = now_ns;
+  onc_call (peer->conn, LVP_BEAT, (xdrproc_t)xdr_lvp_beat, &beat, on_beat,
+            peer);
+}
+
+static bool
+in_force (const struct ent_peer *peer)
+{
+  const struct ros_member *m
+      = ros_find (&peer->entry->roster, peer->incarnation);
+
+  return m != NULL && m->ended == 0;
+}
+
+static void
+remove_peer (struct ent_peer *peer)
+{
+  DL_DELETE (peer->entry->peers, peer);
+  if (peer->conn != NULL)
+    onc_close (peer->conn, -ECONNABORTED, "not needed");
+  talloc_free (peer);
+}
+
+static void
+tick_peer (struct ent_peer *peer, uint64_t now_ns)
+{
+  struct ent_entry *e = peer->entry;
+  bool busy = peer->waiting != NULL || peer->sent != NULL;
+
+  if (peer->conn != NULL
+      && now_ns - onc_last_heard (peer->conn) > e->set.silent_ms * CLK_MS)
+    onc_close (peer->conn, -ETIMEDOUT, "silent for too long");
+  if (peer->conn == NULL && !peer->replaced && now_ns >= peer->retry_ns)
+    connect_peer (peer);
+  if (peer->hello
+      && now_ns - peer->beat_ns >= e->set.heartbeat_ms * CLK_MS / 2)
+    send_beat (peer, now_ns);
+  if (busy && now_ns - peer->heard_ns > UNREACHABLE_NS
+      && now_ns - peer->used_ns > UNREACHABLE_NS / 2)
+    take_over_all (peer);
+  if (!in_force (peer) && !busy && now_ns - peer->used_ns > 10 * CLK_S)
+    remove_peer (peer);
+}
+
+/* This entry and another have not heard of each other: that one may take over
+   what this one owns.  */
+static void
+note_doubt (struct ent_entry *e, uint64_t now_ns)
+{
+  struct ent_peer *peer;
+
+  DL_FOREACH (e->peers, peer)
+  {
+    if (in_force (peer) && !peer->replaced
+        && now_ns - peer->heard_ns > DOUBT_NS)
+      e->doubt_ms = clk_wall_ms ();
+  }
+}
+
+void
+ent_peer_tick (struct ent_entry *e, uint64_t now_ns)
+{
+  struct ent_peer *peer;
+  struct ent_peer *next;
+  struct ros_member *m;
+
+  LL_FOREACH (e->roster.members, m)
+  {
+    if (m->role == ROS_ENTRY && m->ended == 0
+        && m->incarnation != e->incarnation)
+      obtain_peer (e, m->incarnation, m->addr, m->port);
+  }
+  DL_FOREACH_SAFE (e->peers, peer, next)
+  {
+    tick_peer (peer, now_ns);
+  }
+  note_doubt (e, now_ns);
+}
+
+static void
+on_sync (struct onc_conn *conn, int err, XDR *res, void *priv)
+{
+  struct ent_entry *e = priv;
+  lvp_sync_res sync;
+
+  if (err != 0 || !WIR_DECODE (lvp_sync_res, res, &sync))
+    return;
+  if (!e->members_known && sync.roster > 0)
+    ent_log_members_from (e, sync.roster, wir_slice (&sync.members));
+  if (sync.rules_version > 0
+      && rvs_adopt (&e->rules, sync.rules_version, sync.rules_offset, "peer",
+                    wir_slice (&sync.rules)))
+    {
+      lgt_seek (e->rules_tail, e->rules.offset + 1);
+      ent_log_rules_changed (e, onc_peer (conn));
+    }
+  WIR_FREE (lvp_sync_res, &sync);
+}
+
+/* Seeds are addresses whose incarnation is not known yet.  */
+static void
+connect_seeds (struct ent_entry *e)
+{
+  for (unsigned i = 0; i < e->set.seeds.count; i++)
+    {
+      struct sockaddr_in address;
+      if (net_parse (&address, e->set.seeds.item[i]) == 0)
+        obtain_peer (e, 0, ntohl (address.sin_addr.s_addr),
+                     ntohs (address.sin_port));
+    }
+}
+
+void
+ent_peer_sync (struct ent_entry *e)
+{
+  uint64_t version = e->rules.version;
+  struct ent_peer *peer;
+
+  connect_seeds (e);
+
+  DL_FOREACH (e->peers, peer)
+  {
+    if (peer->hello)
+      onc_call (peer->conn, LVP_SYNC, (xdrproc_t)xdr_uint64_t, &version,
+                on_sync, e);
+  }
+}
+
+static void
+answer_guest (struct req_request *r, struct req_answer *a)
+{
+  struct guest *g = r->origin;
+  struct lv_slice body = { a->data, a->len };
+  lvp_forward_res res = { .http_status = a->status };
+
+  res.body = wir_bytes (body);
+  g->pending--;
+  g->entry->held_requests--;
+  if (!g->closed)
+    onc_reply (g->conn, r->xid, (xdrproc_t)xdr_lvp_forward_res, &res);
+  else if (g->pending == 0)
+    talloc_free (g);
+}
+
+static void
+serve_forward (struct guest *g, uint32_t xid, XDR *args)
+{
+  static const enum req_op ops[] = { [LVP_SUBMIT] = REQ_SUBMIT,
+                                     [LVP_POLL] = REQ_POLL,
+                                     [LVP_CANCEL] = REQ_CANCEL };
+  lvp_forward call;
+  struct req_request *r;
+  struct req_refusal why;
+
+  if (!WIR_DECODE (lvp_forward, args, &call) || call.op > LVP_CANCEL)
+    {
+      onc_close (g->conn, -EBADMSG, "forward cannot be decoded");
+      return;
+    }
+  r = req_new (ops[call.op]);
+  r->raw = talloc_memdup (r, call.body.lvp_bytes_val, call.body.lvp_bytes_len);
+  r->raw_len = call.body.lvp_bytes_len;
+  r->wait_ms = call.wait_ms == UINT32_MAX ? UINT64_MAX : call.wait_ms;
+  r->wait = call.wait_ms > 0;
+  r->hops = call.hops;
+  r->answer = answer_guest;
+  r->origin = g;
+  r->xid = xid;
+  g->pending++;
+  g->entry->held_requests++;
+  if (r->op == REQ_SUBMIT && !req_parse (r, &why))
+    ent_refuse (g->entry, r, &why);
+  else
+    {
+      r->has_sid = true;
+      r->sid = wir_to_sid (&call.sid);
+      if (r->op == REQ_SUBMIT)
+        ent_submit_as (g->entry, r, &r->sid);
+      else
+        ent_intake (g->entry, r);
+    }
+  WIR_FREE (lvp_forward, &call);
+}
+
+static void
+serve_hello (struct guest *g, uint32_t xid, XDR *args)
+{
+  lvp_hello call;
+  lvp_hello_res res = { 0 };
+
+  if (!WIR_DECODE (lvp_hello, args, &call))
+    {
+      onc_close (g->conn, -EBADMSG, "hello cannot be decoded");
+      return;
+    }
+  res.name = g->entry->set.name;
+  res.incarnation = g->entry->incarnation;
+  res.domain = g->entry->set.domain;
+  res.leaving = g->entry->leaving;
+  onc_reply (g->conn, xid, (xdrproc_t)xdr_lvp_hello_res, &res);
+  WIR_FREE (lvp_hello, &call);
+}
+
+static void
+serve_sync (struct guest *g, uint32_t xid)
+{
+  struct ent_entry *e = g->entry;
+  lvp_sync_res res;
+  char *dump;
+
+  memset (&res, 0, sizeof res);
+  if (e->rules.known && e->rules.version > 0)
+    {
+      res.rules_version = e->rules.version;
+      res.rules_offset = e->rules.offset;
+      res.rules = wir_bytes (lv_slice_of (e->rules.text));
+    }
+  dump = ros_dump (e->ev, &e->roster);
+  if (e->members_known)
+    {
+      res.roster = e->roster.offset;
+      res.members = wir_bytes (lv_slice_of (dump));
+    }
+  onc_reply (g->conn, xid, (xdrproc_t)xdr_lvp_sync_res, &res);
+  talloc_free (dump);
+}
+
+static void
+guest_call (struct onc_conn *conn, uint32_t xid, uint32_t proc, XDR *args,
+            void *priv)
+{
+  struct guest *g = priv;
+  lvp_beat_res beat;
+
+  switch (proc)
+    {
+    case LVP_HELLO:
+      serve_hello (g, xid, args);
+      return;
+    case LVP_BEAT:
+      memset (&beat, 0, sizeof beat);
+      beat.leaving = g->entry->leaving;
+      beat.roster = g->entry->roster.offset;
+      onc_reply (conn, xid, (xdrproc_t)xdr_lvp_beat_res, &beat);
+      return;
+    case LVP_FORWARD:
+      serve_forward (g, xid, args);
+      return;
+    case LVP_SYNC:
+      serve_sync (g, xid);
+      return;
+    default:
+      onc_close (conn, -EPROTO, "unknown procedure");
+    }
+}
+
+static void
+guest_closed (struct onc_conn *conn, const struct err_error *err, void *priv)
+{
+  struct guest *g = priv;
+
+  (void)conn;
+  (void)err;
+  g->closed = true;
+  if (g->pending == 0)
+    talloc_free (g);
+}
+
+static void
+guest_accepted (int fd, const char *peer, void *priv)
+{
+  struct ent_entry *e = priv;
+  struct guest *g = talloc_zero (e->ev, struct guest);
+  struct onc_handler handler = { guest_call, guest_closed, g };
+
+  g->entry = e;
+  g->conn = onc_attach (e->ev, e->ev, fd, peer, &handler);
+}
+
+int
+ent_peer_listen (struct ent_entry *e)
+{
+  return net_serve (e->ev, e->ev, e->set.listen, guest_accepted, e);
+}
--- /dev/null
+++ b/src/estimate.c
@@ -0,0 +1,158 @@
+#include "lagoonvale/estimate.h"
+
+#include <math.h>
+#include <string.h>
+#include <talloc.h>
+#include <uthash.h>
+
+/* Quarter octaves from 2^16 ns (66 us) to 2^42 ns (over an hour).  */
+#define FIRST_OCTAVE 16
+#define PER_OCTAVE 4
+#define BUCKETS ((42 - FIRST_OCTAVE) * PER_OCTAVE)
+/* Total weight at which all counts are halved.  */
+#define DECAY_AT 512.0
+#define FAILURE_GAIN 0.05
+#define NAME_BYTES 64
+
+struct est_kind
+{
+  char name[NAME_BYTES];
+  size_t name_len;
+  float count[BUCKETS];
+  double total;
+  double weighted_ns;
+  double failure_rate;
+  UT_hash_handle hh;
+};
+
+static const struct lv_slice overflow_kind = { "*", 1 };
+
+void
+est_init (struct est_table *t, void *mem_ctx)
+{
+  memset (t, 0, sizeof *t);
+  t->mem_ctx = mem_ctx;
+}
+
+void
+est_finish (struct est_table *t)
+{
+  struct est_kind *k;
+  struct est_kind *next;
+
+  HASH_ITER (hh, t->kinds, k, next)
+  {
+    HASH_DEL (t->kinds, k);
+    talloc_free (k);
+  }
+}
+
+static struct est_kind *
+find (const struct est_table *t, struct lv_slice name)
+{
+  struct est_kind *k;
+
+  HASH_FIND (hh, t->kinds, name.data, name.len, k);
+  return k;
+}
+
+static struct est_kind *
+obtain (struct est_table *t, struct lv_slice name)
+{
+  struct est_kind *k = find (t, name);
+
+  if (k != NULL)
+    return k;
+  if (name.len >= NAME_BYTES || t->kind_count >= EST_KINDS_MAX)
+    {
+      k = find (t, overflow_kind);
+      if (k != NULL)
+        return k;
+      name = overflow_kind;
+    }
+  k = talloc_zero (t->mem_ctx, struct est_kind);
+  if (k == NULL)
+    return NULL;
+  memcpy (k->name, name.data, name.len);
+  k->name_len = name.len;
+  HASH_ADD_KEYPTR (hh, t->kinds, k->name, k->name_len, k);
+  t->kind_count++;
+  return k;
+}
+
+static unsigned
+bucket_of (uint64_t run_ns)
+{
+  double octave = run_ns > 0 ? log2 ((double)run_ns) - FIRST_OCTAVE : 0;
+
+  if (octave <= 0)
+    return 0;
+  if (octave * PER_OCTAVE >= BUCKETS - 1)
+    return BUCKETS - 1;
+  return (unsigned)(octave * PER_OCTAVE);
+}
+
+/* Geometric middle of a bucket, ns.  */
+static uint64_t
+bucket_value (unsigned bucket)
+{
+  return (uint64_t)exp2 (FIRST_OCTAVE + (bucket + 0.5) / PER_OCTAVE);
+}
+
+void
+est_observe (struct est_table *t, struct lv_slice kind, uint64_t run_ns,
+             bool succeeded)
+{
+  struct est_kind *k = obtain (t, kind);
+
+  if (k == NULL)
+    return;
+  k->failure_rate += FAILURE_GAIN * ((succeeded ? 0.0 : 1.0) - k->failure_rate);
+  if (!succeeded)
+    return;
+  if (k->total >= DECAY_AT)
+    {
+      for (unsigned i = 0; i < BUCKETS; i++)
+        k->count[i] /= 2;
+      k->total /= 2;
+      k->weighted_ns /= 2;
+    }
+  k->count[bucket_of (run_ns)] += 1;
+  k->total += 1;
+  k->weighted_ns += (double)run_ns;
+}
+
+uint64_t
+est_quantile (const struct est_table *t, struct lv_slice kind, double q)
+{
+  const struct est_kind *k = find (t, kind);
+  double below = 0;
+
+  if (k == NULL || k->total < 1)
+    return EST_UNSEEN_NS;
+  for (unsigned i = 0; i < BUCKETS; i++)
+    {
+      below += k->count[i];
+      if (below >= q * k->total)
+        return bucket_value (i);
+    }
+  return bucket_value (BUCKETS - 1);
+}
+
+uint64_t
+est_mean (const struct est_table *t, struct lv_slice kind)
+{
+  const struct est_kind *k = find (t, kind);
+
+  if (k == NULL || k->total < 1)
+    return EST_UNSEEN_NS;
+  return (uint64_t)(k->weighted_ns / k->total);
+}
+
+double
+est_failure_rate (const struct est_table *t, struct lv_slice kind)
+{
+  const struct est_kind *k = find (t, kind);
+
+  return k != NULL ? k->failure_rate : 0;
+}
--- /dev/null
+++ b/src/grant.c
@@ -0,0 +1,185 @@
+#include "lagoonvale/grant.h"
+
+#include <errno.h>
+#include <stddef.h>
+#include <string.h>
+
+void
+grt_init (struct grt_grants *g, uint32_t capacity)
+{
+  memset (g, 0, sizeof *g);
+  g->capacity = capacity;
+  g->open = true;
+}
+
+int
+grt_join (struct grt_grants *g)
+{
+  for (int i = 0; i < GRT_SESSIONS_MAX; i++)
+    if (!g->session[i].used && g->session[i].running == 0)
+      {
+        memset (&g->session[i], 0, sizeof g->session[i]);
+        g->session[i].used = true;
+        return i;
+      }
+  return -ENOSPC;
+}
+
+void
+grt_leave (struct grt_grants *g, unsigned place)
+{
+  uint32_t running = g->session[place].running;
+
+  memset (&g->session[place], 0, sizeof g->session[place]);
+  g->session[place].running = running;
+}
+
+void
+grt_demand (struct grt_grants *g, unsigned place, uint32_t queued,
+            uint32_t urgency)
+{
+  g->session[place].queued = queued;
+  g->session[place].urgency = urgency;
+}
+
+bool
+grt_spend (struct grt_grants *g, unsigned place)
+{
+  struct grt_session *s = &g->session[place];
+
+  if (s->credits == 0)
+    return false;
+  s->credits--;
+  s->running++;
+  if (s->queued > 0)
+    s->queued--;
+  if (s->recalled > s->credits)
+    s->recalled = s->credits;
+  return true;
+}
+
+void
+grt_end (struct grt_grants *g, unsigned place)
+{
+  if (g->session[place].running > 0)
+    g->session[place].running--;
+}
+
+void
+grt_return (struct grt_grants *g, unsigned place, uint32_t n)
+{
+  struct grt_session *s = &g->session[place];
+
+  if (n > s->credits)
+    n = s->credits;
+  s->credits -= n;
+  s->recalled = s->recalled > n ? s->recalled - n : 0;
+}
+
+uint32_t
+grt_free (const struct grt_grants *g)
+{
+  uint32_t taken = 0;
+
+  for (int i = 0; i < GRT_SESSIONS_MAX; i++)
+    taken += g->session[i].credits + g->session[i].running;
+  return taken < g->capacity ? g->capacity - taken : 0;
+}
+
+static uint32_t
+unmet (const struct grt_session *s)
+{
+  return s->queued > s->credits ? s->queued - s->credits : 0;
+}
+
+/* Whether A should get the next credit before B.  */
+static bool
+needs_more (const struct grt_session *a, const struct grt_session *b)
+{
+  bool a_waits = unmet (a) > 0;
+  bool b_waits = unmet (b) > 0;
+  uint32_t a_share = a->credits + a->running;
+  uint32_t b_share = b->credits + b->running;
+
+  if (a_waits != b_waits)
+    return a_waits;
+  if (!a_waits)
+    return a->credits < b->credits;
+  if (a_share != b_share)
+    return a_share < b_share;
+  return a->urgency < b->urgency;
+}
+
+static struct grt_session *
+neediest (struct grt_grants *g)
+{
+  struct grt_session *best = NULL;
+
+  for (int i = 0; i < GRT_SESSIONS_MAX; i++)
+    {
+      struct grt_session *s = &g->session[i];
+      if (s->used && (best == NULL || needs_more (s, best)))
+        best = s;
+    }
+  return best;
+}
+
+static struct grt_session *
+idlest (struct grt_grants *g)
+{
+  struct grt_session *best = NULL;
+  uint32_t most = 0;
+
+  for (int i = 0; i < GRT_SESSIONS_MAX; i++)
+    {
+      struct grt_session *s = &g->session[i];
+      uint32_t needed = s->recalled + s->queued;
+      uint32_t spare = s->credits > needed ? s->credits - needed : 0;
+      if (s->used && spare > most)
+        {
+          most = spare;
+          best = s;
+        }
+    }
+  return best;
+}
+
+/* Recall idle credits of others for entries whose work waits.  */
+static void
+recall (struct grt_grants *g)
+{
+  uint32_t coming = 0;
+  uint32_t wanted = 0;
+
+  for (int i = 0; i < GRT_SESSIONS_MAX; i++)
+    {
+      coming += g->session[i].recalled;
+      wanted += g->session[i].used ? unmet (&g->session[i]) : 0;
+    }
+  while (coming < wanted)
+    {
+      struct grt_session *s = idlest (g);
+      if (s == NULL)
+        return;
+      s->recalled++;
+      s->change--;
+      coming++;
+    }
+}
+
+void
+grt_balance (struct grt_grants *g)
+{
+  uint32_t available = g->open ? grt_free (g) : 0;
+
+  for (; available > 0; available--)
+    {
+      struct grt_session *s = neediest (g);
+      if (s == NULL)
+        return;
+      s->credits++;
+      s->change++;
+    }
+  if (g->open)
+    recall (g);
+}
--- /dev/null
+++ b/src/health.c
@@ -0,0 +1,77 @@
+#include "lagoonvale/health.h"
+
+#include <string.h>
+
+/* Blame at which a target is ejected.  */
+#define EJECT_BLAME 3.0
+/* Share of the blame that each success takes away.  */
+#define FORGIVE 0.25
+
+static bool
+may_eject (const struct hlt_fleet *f)
+{
+  return f->ejected + 1 <= HLT_EJECT_SHARE * f->targets;
+}
+
+static void
+eject (struct hlt_target *t, uint64_t now_ns)
+{
+  t->state = HLT_EJECTED;
+  t->probe_ns = t->probe_ns == 0 ? HLT_PROBE_NS : t->probe_ns * 2;
+  if (t->probe_ns > HLT_PROBE_MAX_NS)
+    t->probe_ns = HLT_PROBE_MAX_NS;
+  t->until_ns = now_ns + t->probe_ns;
+}
+
+static bool
+observe_success (struct hlt_fleet *f, struct hlt_target *t)
+{
+  t->blame *= 1 - FORGIVE;
+  if (t->state == HLT_FIT)
+    return false;
+  f->ejected--;
+  memset (t, 0, sizeof *t);
+  return true;
+}
+
+bool
+hlt_observe (struct hlt_fleet *f, struct hlt_target *t, bool succeeded,
+             double kind_failure_rate, uint64_t now_ns)
+{
+  if (succeeded)
+    return observe_success (f, t);
+  t->blame += 1 - kind_failure_rate;
+  if (t->state == HLT_PROBING)
+    {
+      eject (t, now_ns);
+      return true;
+    }
+  if (t->state != HLT_FIT || t->blame < EJECT_BLAME || !may_eject (f))
+    return false;
+  f->ejected++;
+  eject (t, now_ns);
+  return true;
+}
+
+bool
+hlt_usable (const struct hlt_target *t, uint64_t now_ns)
+{
+  return t->state == HLT_FIT
+         || (t->state == HLT_EJECTED && now_ns >= t->until_ns);
+}
+
+void
+hlt_probe (struct hlt_target *t)
+{
+  if (t->state == HLT_EJECTED)
+    t->state = HLT_PROBING;
+}
+
+void
+hlt_remove (struct hlt_fleet *f, struct hlt_target *t)
+{
+  f->targets--;
+  if (t->state != HLT_FIT)
+    f->ejected--;
+  memset (t, 0, sizeof *t);
+}
--- /dev/null
+++ b/src/http_client.c
@@ -0,0 +1,244 @@
+#include "http_client.h"
+
+#include <curl/curl.h>
+#include <errno.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <talloc.h>
+
+#define CONNECT_TIMEOUT_MS 1000L
+
+struct hcl_client
+{
+  CURLM *multi;
+  struct tevent_context *ev;
+  struct tevent_timer *timer;
+};
+
+struct hcl_request
+{
+  struct hcl_client *client;
+  CURL *easy;
+  struct curl_slist *headers;
+  char *body;
+  char *answer;
+  size_t answer_len;
+  hcl_done_fn done;
+  void *priv;
+};
+
+struct watch
+{
+  struct hcl_client *client;
+  curl_socket_t fd;
+  struct tevent_fd *fde;
+};
+
+static int
+end_code (CURLcode code)
+{
+  if (code == CURLE_OK)
+    return 0;
+  if (code == CURLE_COULDNT_CONNECT)
+    return -ECONNREFUSED;
+  if (code == CURLE_OPERATION_TIMEDOUT)
+    return -ETIMEDOUT;
+  return -EIO;
+}
+
+static void
+reap (struct hcl_client *client)
+{
+  CURLMsg *msg;
+  int left;
+
+  while ((msg = curl_multi_info_read (client->multi, &left)) != NULL)
+    {
+      struct hcl_request *r;
+      long status = 0;
+      int err;
+      struct lv_slice body;
+
+      if (msg->msg != CURLMSG_DONE)
+        continue;
+      err = end_code (msg->data.result);
+      curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, (char **)&r);
+      curl_easy_getinfo (msg->easy_handle, CURLINFO_RESPONSE_CODE, &status);
+      body.data = r->answer;
+      body.len = r->answer_len;
+      r->done (err, status, body, r->priv);
+      talloc_free (r);
+    }
+}
+
+static void
+socket_cb (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+           void *priv)
+{
+  struct watch *w = priv;
+  struct hcl_client *client = w->client;
+  int mask = ((flags & TEVENT_FD_READ) != 0 ? CURL_CSELECT_IN : 0)
+             | ((flags & TEVENT_FD_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
+  int running;
+
+  (void)ev;
+  (void)fde;
+  curl_multi_socket_action (client->multi, w->fd, mask, &running);
+  reap (client);
+}
+
+static int
+watch_cb (CURL *easy, curl_socket_t fd, int what, void *priv, void *sockpriv)
+{
+  struct hcl_client *client = priv;
+  struct watch *w = sockpriv;
+  uint16_t flags = 0;
+
+  (void)easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      talloc_free (w);
+      return 0;
+    }
+  if (w == NULL)
+    {
+      w = talloc_zero (client, struct watch);
+      w->client = client;
+      w->fd = fd;
+      w->fde = tevent_add_fd (client->ev, w, fd, 0, socket_cb, w);
+      curl_multi_assign (client->multi, fd, w);
+    }
+  if (what == CURL_POLL_IN || what == CURL_POLL_INOUT)
+    flags |= TEVENT_FD_READ;
+  if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
+    flags |= TEVENT_FD_WRITE;
+  tevent_fd_set_flags (w->fde, flags);
+  return 0;
+}
+
+static void
+timeout_cb (struct tevent_context *ev, struct tevent_timer *te,
+            struct timeval now, void *priv)
+{
+  struct hcl_client *client = priv;
+  int running;
+
+  (void)ev;
+  (void)te;
+  (void)now;
+  client->timer = NULL;
+  curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  reap (client);
+}
+
+static int
+timer_cb (CURLM *multi, long timeout_ms, void *priv)
+{
+  struct hcl_client *client = priv;
+
+  (void)multi;
+  TALLOC_FREE (client->timer);
+  if (timeout_ms >= 0)
+    client->timer = tevent_add_timer (
+        client->ev, client,
+        tevent_timeval_current_ofs ((uint32_t)(timeout_ms / 1000),
+                                    (uint32_t)(timeout_ms % 1000) * 1000),
+        timeout_cb, client);
+  return 0;
+}
+
+static int
+destroy_client (struct hcl_client *client)
+{
+  curl_multi_cleanup (client->multi);
+  return 0;
+}
+
+struct hcl_client *
+hcl_new (void *mem_ctx, struct tevent_context *ev, long connections)
+{
+  struct hcl_client *client = talloc_zero (mem_ctx, struct hcl_client);
+
+  client->ev = ev;
+  client->multi = curl_multi_init ();
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, watch_cb);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, timer_cb);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                     connections);
+  talloc_set_destructor (client, destroy_client);
+  return client;
+}
+
+static size_t
+collect (char *data, size_t size, size_t n, void *priv)
+{
+  struct hcl_request *r = priv;
+  size_t len = size * n;
+  char *grown = talloc_realloc (r, r->answer, char, r->answer_len + len + 1);
+
+  if (grown == NULL)
+    return 0;
+  memcpy (grown + r->answer_len, data, len);
+  r->answer = grown;
+  r->answer_len += len;
+  r->answer[r->answer_len] = '\0';
+  return len;
+}
+
+static int
+destroy_request (struct hcl_request *r)
+{
+  curl_multi_remove_handle (r->client->multi, r->easy);
+  curl_easy_cleanup (r->easy);
+  curl_slist_free_all (r->headers);
+  return 0;
+}
+
+struct hcl_request *
+hcl_send (struct hcl_client *client, const char *method, const char *url,
+          struct lv_slice body, long timeout_ms, hcl_done_fn done, void *priv)
+{
+  struct hcl_request *r = talloc_zero (client, struct hcl_request);
+
+  if (r == NULL)
+    return NULL;
+  r->client = client;
+  r->done = done;
+  r->priv = priv;
+  r->easy = curl_easy_init ();
+  talloc_set_destructor (r, destroy_request);
+  curl_easy_setopt (r->easy, CURLOPT_URL, url);
+  curl_easy_setopt (r->easy, CURLOPT_PRIVATE, r);
+  curl_easy_setopt (r->easy, CURLOPT_WRITEFUNCTION, collect);
+  curl_easy_setopt (r->easy, CURLOPT_WRITEDATA, r);
+  curl_easy_setopt (r->easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (r->easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt (r->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (r->easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+  if (strcmp (method, "ONCE") == 0)
+    {
+      method = "POST";
+      curl_easy_setopt (r->easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (r->easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+  curl_easy_setopt (r->easy, CURLOPT_CUSTOMREQUEST, method);
+  if (body.len > 0)
+    {
+      r->body = talloc_memdup (r, body.data, body.len);
+      r->headers = curl_slist_append (NULL, "Content-Type: application/json");
+      r->headers = curl_slist_append (r->headers, "Expect:");
+      curl_easy_setopt (r->easy, CURLOPT_HTTPHEADER, r->headers);
+      curl_easy_setopt (r->easy, CURLOPT_POSTFIELDSIZE, (long)body.len);
+      curl_easy_setopt (r->easy, CURLOPT_POSTFIELDS, r->body);
+    }
+  curl_multi_add_handle (client->multi, r->easy);
+  return r;
+}
+
+void
+hcl_cancel (struct hcl_request *request)
+{
+  talloc_free (request);
+}
--- /dev/null
+++ b/src/jsonx.c
@@ -0,0 +1,66 @@
+#include "jsonx.h"
+
+struct json_object *
+jsx_parse_why (struct lv_slice text, const char **why, size_t *at)
+{
+  struct json_tokener *tokener = json_tokener_new_ex (JSX_DEPTH_MAX);
+  struct json_object *json
+      = json_tokener_parse_ex (tokener, text.data, (int)text.len);
+  enum json_tokener_error error = json_tokener_get_error (tokener);
+
+  /* A bare number ends only where more text would.  */
+  if (error == json_tokener_continue && json == NULL)
+    json = json_tokener_parse_ex (tokener, "", 1);
+  *at = json_tokener_get_parse_end (tokener);
+  *why = json_tokener_error_desc (error);
+  for (size_t i = *at; json != NULL && i < text.len; i++)
+    if (strchr (" \t\r\n", text.data[i]) == NULL || text.data[i] == '\0')
+      {
+        json_object_put (json);
+        json = NULL;
+        *why = "text after the end of the JSON value";
+      }
+  json_tokener_free (tokener);
+  return json;
+}
+
+struct json_object *
+jsx_parse (struct lv_slice text)
+{
+  const char *why;
+  size_t at;
+
+  return jsx_parse_why (text, &why, &at);
+}
+
+const char *
+jsx_string (struct json_object *object, const char *name, const char *fallback)
+{
+  struct json_object *value;
+
+  if (!json_object_is_type (object, json_type_object)
+      || !json_object_object_get_ex (object, name, &value)
+      || !json_object_is_type (value, json_type_string))
+    return fallback;
+  return json_object_get_string (value);
+}
+
+uint64_t
+jsx_uint (struct json_object *object, const char *name, uint64_t fallback)
+{
+  struct json_object *value;
+
+  if (!json_object_is_type (object, json_type_object)
+      || !json_object_object_get_ex (object, name, &value)
+      || !json_object_is_type (value, json_type_int)
+      || json_object_get_int64 (value) < 0)
+    return fallback;
+  return (uint64_t)json_object_get_int64 (value);
+}
+
+void
+jsx_add (struct json_object *object, const char *name,
+         struct json_object *value)
+{
+  json_object_object_add (object, name, value);
+}
--- /dev/null
+++ b/src/jsonx.h
@@ -0,0 +1,40 @@
+/**
+ * DOC: jsonx
+ *
+ * Short forms over json-c: bounded parsing and typed reads with a fallback.
+ */
+#ifndef LV_JSONX_H
+#define LV_JSONX_H
+
+#include <json-c/json.h>
+#include <stdint.h>
+
+#include "lagoonvale/slice.h"
+
+/** Deepest nesting accepted. */
+#define JSX_DEPTH_MAX 16
+
+/** jsx_parse() - parse a whole text; NULL if it is not one JSON value. */
+struct json_object *jsx_parse (struct lv_slice text);
+
+/**
+ * jsx_parse_why() - like jsx_parse(), telling what is wrong
+ * @why: static description of the fault
+ * @at: byte at which it was found
+ */
+struct json_object *jsx_parse_why (struct lv_slice text, const char **why,
+                                   size_t *at);
+
+/** jsx_string() - member @name if it is a string, else @fallback. */
+const char *jsx_string (struct json_object *object, const char *name,
+                        const char *fallback);
+
+/** jsx_uint() - member @name if it is a whole number >= 0, else @fallback. */
+uint64_t jsx_uint (struct json_object *object, const char *name,
+                   uint64_t fallback);
+
+/** jsx_add() - set member @name to @value, which it then owns. */
+void jsx_add (struct json_object *object, const char *name,
+              struct json_object *value);
+
+#endif
--- /dev/null
+++ b/src/logline.h
@@ -0,0 +1,45 @@
+/**
+ * DOC: logline
+ *
+ * One structured line (key=value) per event, through log4c.
+ */
+#ifndef LV_LOGLINE_H
+#define LV_LOGLINE_H
+
+#include <stdbool.h>
+
+/** Levels, most serious first. */
+enum log_level
+{
+  LOGL_ERROR,
+  LOGL_WARN,
+  LOGL_INFO,
+  LOGL_DEBUG,
+};
+
+/**
+ * log_init() - open the log of this process on standard error
+ * @role: "entry", "agent", ...
+ * @name: name of the instance
+ * @level: "error", "warn", "info" or "debug"
+ *
+ * Return: 0, or -EINVAL for an unknown level.
+ */
+int log_init (const char *role, const char *name, const char *level);
+
+/** log_enabled() - whether lines of @level are written. */
+bool log_enabled (enum log_level level);
+
+/**
+ * log_line() - write one line
+ * @level: how serious
+ * @event: static name of the event, for example "place"
+ * @format: printf format of "key=value key=value"
+ */
+void log_line (enum log_level level, const char *event, const char *format,
+               ...) __attribute__ ((format (printf, 3, 4)));
+
+/** log_flush() - write out what is buffered; called once per loop tick. */
+void log_flush (void);
+
+#endif
--- /dev/null
+++ b/src/logtail.h
@@ -0,0 +1,52 @@
+/**
+ * DOC: logtail
+ *
+ * Reading and appending to a stream of the platform's log over HTTP.  The tail
+ * long-polls, survives outages and says when records were missed.
+ */
+#ifndef LV_LOGTAIL_H
+#define LV_LOGTAIL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "http_client.h"
+
+struct lgt_tail;
+
+/**
+ * struct lgt_handler - what a tail tells its owner
+ * @begin: a batch follows; @first is the oldest offset kept by the log
+ * @record: one record, in order
+ * @caught_up: the end of the stream was reached
+ * @priv: passed to all
+ */
+struct lgt_handler
+{
+  void (*begin) (uint64_t first, void *priv);
+  void (*record) (uint64_t offset, uint64_t log_ms, struct lv_slice data,
+                  void *priv);
+  void (*caught_up) (void *priv);
+  void *priv;
+};
+
+/** lgt_open() - tail @stream of the log at @url from offset @from on. */
+struct lgt_tail *lgt_open (void *mem_ctx, struct tevent_context *ev,
+                           struct hcl_client *client, const char *url,
+                           const char *stream, uint64_t from,
+                           const struct lgt_handler *handler);
+
+/** lgt_seek() - go on from @from. */
+void lgt_seek (struct lgt_tail *tail, uint64_t from);
+
+/** lgt_reachable() - whether the last read succeeded. */
+bool lgt_reachable (const struct lgt_tail *tail);
+
+/**
+ * lgt_append() - append @data to the stream of @tail
+ * @done: called with 0, or a negative error number: it may have taken effect
+ */
+void lgt_append (struct lgt_tail *tail, const char *data,
+                 void (*done) (int err, void *priv), void *priv);
+
+#endif
--- /dev/null
+++ b/src/net.c
@@ -0,0 +1,146 @@
+#include "net.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#define LISTEN_BACKLOG 512
+#define PORT_MAX 65535
+
+int
+net_parse (struct sockaddr_in *address, const char *text)
+{
+  char host[INET_ADDRSTRLEN];
+  const char *colon = strrchr (text, ':');
+  char *end;
+  unsigned long port;
+
+  if (colon == NULL || (size_t)(colon - text) >= sizeof host)
+    return -EINVAL;
+  memcpy (host, text, (size_t)(colon - text));
+  host[colon - text] = '\0';
+  port = strtoul (colon + 1, &end, 10);
+  if (colon[1] == '\0' || *end != '\0' || port > PORT_MAX)
+    return -EINVAL;
+  memset (address, 0, sizeof *address);
+  address->sin_family = AF_INET;
+  address->sin_port = htons ((uint16_t)port);
+  return inet_pton (AF_INET, host, &address->sin_addr) == 1 ? 0 : -EINVAL;
+}
+
+void
+net_format (uint32_t address, uint32_t port, char text[NET_TEXT_MAX])
+{
+  snprintf (text, NET_TEXT_MAX, "%u.%u.%u.%u:%u", (address >> 24) & 255,
+            (address >> 16) & 255, (address >> 8) & 255, address & 255,
+            port & PORT_MAX);
+}
+
+static void
+prepare (int fd)
+{
+  int one = 1;
+
+  fcntl (fd, F_SETFL, O_NONBLOCK);
+  fcntl (fd, F_SETFD, FD_CLOEXEC);
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+}
+
+int
+net_listen (const char *text)
+{
+  struct sockaddr_in address;
+  int one = 1;
+  int fd;
+
+  if (net_parse (&address, text) != 0)
+    return -EINVAL;
+  fd = socket (AF_INET, SOCK_STREAM, 0);
+  if (fd < 0)
+    return -errno;
+  prepare (fd);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (bind (fd, (struct sockaddr *)&address, sizeof address) != 0
+      || listen (fd, LISTEN_BACKLOG) != 0)
+    {
+      int code = -errno;
+      close (fd);
+      return code;
+    }
+  return fd;
+}
+
+int
+net_connect (const char *text)
+{
+  struct sockaddr_in address;
+  int fd;
+
+  if (net_parse (&address, text) != 0)
+    return -EINVAL;
+  fd = socket (AF_INET, SOCK_STREAM, 0);
+  if (fd < 0)
+    return -errno;
+  prepare (fd);
+  if (connect (fd, (struct sockaddr *)&address, sizeof address) != 0
+      && errno != EINPROGRESS)
+    {
+      int code = -errno;
+      close (fd);
+      return code;
+    }
+  return fd;
+}
+
+struct server
+{
+  int fd;
+  void (*accepted) (int fd, const char *peer, void *priv);
+  void *priv;
+};
+
+static void
+accept_cb (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+           void *priv)
+{
+  struct server *server = priv;
+  struct sockaddr_in from;
+  socklen_t len = sizeof from;
+  char peer[NET_TEXT_MAX];
+  int fd = accept (server->fd, (struct sockaddr *)&from, &len);
+
+  (void)ev;
+  (void)fde;
+  (void)flags;
+  if (fd < 0)
+    return;
+  prepare (fd);
+  net_format (ntohl (from.sin_addr.s_addr), ntohs (from.sin_port), peer);
+  server->accepted (fd, peer, server->priv);
+}
+
+int
+net_serve (void *mem_ctx, struct tevent_context *ev, const char *text,
+           void (*accepted) (int fd, const char *peer, void *priv), void *priv)
+{
+  struct server *server;
+  struct tevent_fd *fde;
+  int fd = net_listen (text);
+
+  if (fd < 0)
+    return fd;
+  server = talloc_zero (mem_ctx, struct server);
+  server->fd = fd;
+  server->accepted = accepted;
+  server->priv = priv;
+  fde = tevent_add_fd (ev, server, fd, TEVENT_FD_READ, accept_cb, server);
+  tevent_fd_set_auto_close (fde);
+  return 0;
+}
--- /dev/null
+++ b/src/onc.h
@@ -0,0 +1,85 @@
+/**
+ * DOC: onc
+ *
+ * ONC RPC records on non-blocking TCP under tevent.  Both ends may call; a
+ * reply finds its call by xid, never by order.  Bytes are collected and written
+ * once per turn of the loop.
+ */
+#ifndef LV_ONC_H
+#define LV_ONC_H
+
+#include <rpc/rpc.h>
+#include <stdint.h>
+#include <tevent.h>
+
+#include "error.h"
+
+/** Longest record accepted, in bytes. */
+#define ONC_RECORD_MAX (4U << 20)
+
+struct onc_conn;
+
+/**
+ * typedef onc_reply_fn - the reply to one call
+ * @conn: connection it was made on
+ * @err: 0, or a negative error number: no reply will come
+ * @res: decoder placed at the results; NULL on error
+ * @priv: as given to onc_call()
+ */
+typedef void (*onc_reply_fn) (struct onc_conn *conn, int err, XDR *res,
+                              void *priv);
+
+/**
+ * struct onc_handler - what a connection tells its owner
+ * @call: a call came in; the callee answers with onc_reply(), now or later
+ * @closed: the connection is gone; its pending calls have been failed already
+ * @priv: passed to both
+ */
+struct onc_handler
+{
+  void (*call) (struct onc_conn *conn, uint32_t xid, uint32_t proc, XDR *args,
+                void *priv);
+  void (*closed) (struct onc_conn *conn, const struct err_error *err,
+                  void *priv);
+  void *priv;
+};
+
+/**
+ * onc_attach() - run RPC over a connected or connecting socket
+ * @mem_ctx: talloc parent
+ * @ev: event loop
+ * @fd: socket, owned by the connection from here on
+ * @peer: name for errors
+ * @handler: callbacks, copied
+ */
+struct onc_conn *onc_attach (void *mem_ctx, struct tevent_context *ev, int fd,
+                             const char *peer,
+                             const struct onc_handler *handler);
+
+/**
+ * onc_call() - send a call
+ * Return: 0 or a negative error number; then @reply is not called.
+ */
+int onc_call (struct onc_conn *conn, uint32_t proc, xdrproc_t encode,
+              const void *args, onc_reply_fn reply, void *priv);
+
+/** onc_reply() - answer the call @xid. */
+int onc_reply (struct onc_conn *conn, uint32_t xid, xdrproc_t encode,
+               const void *res);
+
+/** onc_close() - close now; pending calls fail, @closed is called. */
+void onc_close (struct onc_conn *conn, int code, const char *why);
+
+/** onc_peer() - name of the other side. */
+const char *onc_peer (const struct onc_conn *conn);
+
+/** onc_last_heard() - loop time at which bytes last came in, in ns. */
+uint64_t onc_last_heard (const struct onc_conn *conn);
+
+/** onc_calls_sent() - calls sent by this process on all connections. */
+uint64_t onc_calls_sent (void);
+
+/** onc_bytes_sent() - bytes sent by this process on all connections. */
+uint64_t onc_bytes_sent (void);
+
+#endif
--- /dev/null
+++ b/src/roster.c
@@ -0,0 +1,405 @@
+#include "lagoonvale/roster.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <talloc.h>
+#include <utlist.h>
+#include <xxhash.h>
+
+#include "jsonx.h"
+#include "net.h"
+
+void
+ros_init (struct ros_roster *r, void *mem_ctx)
+{
+  memset (r, 0, sizeof *r);
+  r->mem_ctx = mem_ctx;
+}
+
+void
+ros_finish (struct ros_roster *r)
+{
+  struct ros_member *m;
+  struct ros_member *next;
+
+  LL_FOREACH_SAFE (r->members, m, next)
+  {
+    LL_DELETE (r->members, m);
+    talloc_free (m);
+  }
+}
+
+struct ros_member *
+ros_find (const struct ros_roster *r, uint64_t incarnation)
+{
+  struct ros_member *m;
+
+  LL_FOREACH (r->members, m)
+  {
+    if (m->incarnation == incarnation)
+      return m;
+  }
+  return NULL;
+}
+
+bool
+ros_in_force (const struct ros_member *m, uint64_t offset)
+{
+  return m->joined <= offset && (m->ended == 0 || m->ended > offset);
+}
+
+unsigned
+ros_bucket (struct lv_slice key)
+{
+  return (unsigned)(XXH3_64bits (key.data, key.len) % ROS_BUCKETS);
+}
+
+uint64_t
+ros_homes_digest (const struct ros_roster *r, unsigned bucket)
+{
+  return XXH3_64bits (r->homes[bucket].member,
+                      sizeof r->homes[bucket].member);
+}
+
+static uint64_t
+score (unsigned bucket, uint64_t incarnation)
+{
+  return XXH3_64bits_withSeed (&incarnation, sizeof incarnation, bucket);
+}
+
+/* Highest scoring agent in force, outside the domain of BESIDES if any other
+   domain has one.  */
+static const struct ros_member *
+choose_home (const struct ros_roster *r, unsigned bucket,
+             const struct ros_member *besides)
+{
+  const struct ros_member *best = NULL;
+  const struct ros_member *m;
+  bool best_apart = false;
+
+  LL_FOREACH (r->members, m)
+  {
+    bool apart = besides == NULL || strcmp (m->domain, besides->domain) != 0;
+    if (m->role != ROS_AGENT || m->ended != 0 || m == besides)
+      continue;
+    if (best != NULL && best_apart && !apart)
+      continue;
+    if (best == NULL || (apart && !best_apart)
+        || score (bucket, m->incarnation) > score (bucket, best->incarnation))
+      {
+        best = m;
+        best_apart = apart;
+      }
+  }
+  return best;
+}
+
+static void
+set_home (struct ros_home *home, unsigned i, const struct ros_member *m,
+          uint64_t log_ms)
+{
+  home->member[i] = m != NULL ? m->incarnation : 0;
+  home->since_ms[i] = log_ms;
+}
+
+/* Move the first home to second place, with the time since it has served.  */
+static void
+demote_first (struct ros_home *home)
+{
+  home->member[1] = home->member[0];
+  home->since_ms[1] = home->since_ms[0];
+}
+
+/* Whether X, beaten by the first home, belongs in second place.  */
+static bool
+beats_second (unsigned bucket, const struct ros_member *x,
+              const struct ros_member *first, const struct ros_member *second)
+{
+  bool x_apart = strcmp (x->domain, first->domain) != 0;
+  bool second_apart;
+
+  if (second == NULL)
+    return true;
+  second_apart = strcmp (second->domain, first->domain) != 0;
+  if (x_apart != second_apart)
+    return x_apart;
+  return score (bucket, x->incarnation) > score (bucket, second->incarnation);
+}
+
+static void
+rehome_joined (struct ros_roster *r, const struct ros_member *x,
+               uint64_t log_ms)
+{
+  for (unsigned b = 0; b < ROS_BUCKETS; b++)
+    {
+      struct ros_home *home = &r->homes[b];
+      const struct ros_member *first = ros_find (r, home->member[0]);
+      const struct ros_member *second = ros_find (r, home->member[1]);
+      if (first == NULL)
+        set_home (home, 0, x, log_ms);
+      else if (score (b, x->incarnation) > score (b, first->incarnation))
+        {
+          bool apart = strcmp (x->domain, first->domain) != 0;
+          if (apart || beats_second (b, first, x, second))
+            demote_first (home);
+          set_home (home, 0, x, log_ms);
+        }
+      else if (beats_second (b, x, first, second))
+        set_home (home, 1, x, log_ms);
+    }
+}
+
+static void
+rehome_ended (struct ros_roster *r, const struct ros_member *x,
+              uint64_t log_ms)
+{
+  for (unsigned b = 0; b < ROS_BUCKETS; b++)
+    {
+      struct ros_home before = r->homes[b];
+      struct ros_home *home = &r->homes[b];
+      const struct ros_member *first;
+      const struct ros_member *second;
+
+      if (before.member[0] != x->incarnation
+          && before.member[1] != x->incarnation)
+        continue;
+      first = choose_home (r, b, NULL);
+      second = first != NULL ? choose_home (r, b, first) : NULL;
+      set_home (home, 0, first, log_ms);
+      set_home (home, 1, second, log_ms);
+      for (unsigned i = 0; i < ROS_HOMES; i++)
+        for (unsigned j = 0; j < ROS_HOMES; j++)
+          if (home->member[i] != 0 && home->member[i] == before.member[j])
+            home->since_ms[i] = before.since_ms[j];
+    }
+}
+
+/* A member that this reader never saw has ended: it may have been a home, so
+   nobody can show an unbroken past.  */
+static void
+distrust_homes (struct ros_roster *r, uint64_t log_ms)
+{
+  for (unsigned b = 0; b < ROS_BUCKETS; b++)
+    for (unsigned i = 0; i < ROS_HOMES; i++)
+      r->homes[b].since_ms[i] = log_ms;
+}
+
+static struct ros_member *
+end_member (struct ros_roster *r, struct ros_member *m, uint64_t offset,
+            uint64_t log_ms)
+{
+  if (m == NULL || m->ended != 0)
+    return NULL;
+  m->ended = offset;
+  m->ended_ms = log_ms;
+  if (m->role == ROS_AGENT)
+    rehome_ended (r, m, log_ms);
+  return m;
+}
+
+/* A new process under an old name replaces the one before it.  */
+static void
+end_predecessors (struct ros_roster *r, const struct ros_member *m,
+                  uint64_t offset, uint64_t log_ms)
+{
+  struct ros_member *other;
+
+  LL_FOREACH (r->members, other)
+  {
+    if (other != m && other->ended == 0 && strcmp (other->name, m->name) == 0)
+      end_member (r, other, offset, log_ms);
+  }
+}
+
+static int
+read_member (struct ros_member *m, struct json_object *record)
+{
+  struct sockaddr_in address;
+  const char *role = jsx_string (record, "role", "");
+  const char *name = jsx_string (record, "name", "");
+  const char *domain = jsx_string (record, "domain", "");
+
+  if (net_parse (&address, jsx_string (record, "address", "")) != 0
+      || name[0] == '\0' || strlen (name) >= ROS_NAME_MAX
+      || strlen (domain) >= ROS_NAME_MAX)
+    return -EINVAL;
+  if (strcmp (role, "agent") == 0)
+    m->role = ROS_AGENT;
+  else if (strcmp (role, "entry") == 0)
+    m->role = ROS_ENTRY;
+  else
+    return -EINVAL;
+  snprintf (m->name, sizeof m->name, "%s", name);
+  snprintf (m->domain, sizeof m->domain, "%s", domain);
+  m->addr = ntohl (address.sin_addr.s_addr);
+  m->port = ntohs (address.sin_port);
+  m->slots = (uint32_t)jsx_uint (record, "slots", 0);
+  return 0;
+}
+
+static struct ros_member *
+apply_join (struct ros_roster *r, uint64_t incarnation, uint64_t offset,
+            uint64_t log_ms, struct json_object *record)
+{
+  struct ros_member *m = ros_find (r, incarnation);
+  uint64_t since = jsx_uint (record, "since", 0);
+
+  if (m != NULL && m->ended == 0)
+    return NULL;
+  if (m == NULL)
+    {
+      m = talloc_zero (r->mem_ctx, struct ros_member);
+      if (m == NULL)
+        return NULL;
+      LL_APPEND (r->members, m);
+    }
+  else if (since != 0)
+    return NULL; /* a refresh does not undo an end */
+  if (read_member (m, record) != 0)
+    {
+      LL_DELETE (r->members, m);
+      talloc_free (m);
+      return NULL;
+    }
+  m->incarnation = incarnation;
+  m->joined = since != 0 && since < offset ? since : offset;
+  m->ended = 0;
+  end_predecessors (r, m, offset, log_ms);
+  if (m->role == ROS_AGENT)
+    rehome_joined (r, m, log_ms);
+  return m;
+}
+
+struct ros_member *
+ros_apply (struct ros_roster *r, uint64_t offset, uint64_t log_ms,
+           struct lv_slice record)
+{
+  struct json_object *json = jsx_parse (record);
+  struct ros_member *m = NULL;
+  const char *type = jsx_string (json, "type", "");
+  uint64_t incarnation
+      = strtoull (jsx_string (json, "incarnation", "0"), NULL, 16);
+
+  if (offset > r->offset)
+    r->offset = offset;
+  if (incarnation != 0 && strcmp (type, "join") == 0)
+    m = apply_join (r, incarnation, offset, log_ms, json);
+  else if (incarnation != 0 && strcmp (type, "end") == 0)
+    {
+      m = ros_find (r, incarnation);
+      if (m == NULL)
+        {
+          distrust_homes (r, log_ms);
+          r->complete = offset;
+        }
+      m = end_member (r, m, offset, log_ms);
+    }
+  json_object_put (json);
+  return m;
+}
+
+void
+ros_begin (struct ros_roster *r, uint64_t first)
+{
+  if (first <= r->offset + 1)
+    return;
+  r->complete = first - 1;
+  r->offset = first - 1;
+}
+
+char *
+ros_dump (void *mem_ctx, const struct ros_roster *r)
+{
+  char *text = talloc_strdup (mem_ctx, "[");
+  const struct ros_member *m;
+
+  LL_FOREACH (r->members, m)
+  {
+    char *record;
+    if (m->ended != 0)
+      continue;
+    record = ros_join_record (mem_ctx, m, m->joined);
+    text = talloc_asprintf_append_buffer (
+        text, "%s%s", text[1] != '\0' ? "," : "", record);
+    talloc_free (record);
+  }
+  return talloc_strdup_append_buffer (text, "]");
+}
+
+bool
+ros_load (struct ros_roster *r, uint64_t offset, uint64_t log_ms,
+          struct lv_slice dump)
+{
+  struct json_object *json = jsx_parse (dump);
+  size_t n;
+
+  if (!json_object_is_type (json, json_type_array) || offset <= r->offset)
+    {
+      json_object_put (json);
+      return false;
+    }
+  n = json_object_array_length (json);
+  for (size_t i = 0; i < n; i++)
+    {
+      struct json_object *record = json_object_array_get_idx (json, i);
+      ros_apply (r, offset, log_ms,
+                 lv_slice_of (json_object_to_json_string (record)));
+    }
+  r->complete = offset;
+  json_object_put (json);
+  return true;
+}
+
+void
+ros_expire (struct ros_roster *r, uint64_t before_ms)
+{
+  struct ros_member *m;
+  struct ros_member *next;
+
+  LL_FOREACH_SAFE (r->members, m, next)
+  {
+    if (m->ended != 0 && m->ended_ms < before_ms && m->priv == NULL)
+      {
+        LL_DELETE (r->members, m);
+        talloc_free (m);
+      }
+  }
+}
+
+char *
+ros_join_record (void *mem_ctx, const struct ros_member *m, uint64_t since)
+{
+  char address[NET_TEXT_MAX];
+  struct json_object *json = json_object_new_object ();
+  char incarnation[17];
+  char *text;
+
+  net_format (m->addr, m->port, address);
+  snprintf (incarnation, sizeof incarnation, "%016" PRIx64, m->incarnation);
+  jsx_add (json, "type", json_object_new_string ("join"));
+  jsx_add (json, "role",
+           json_object_new_string (m->role == ROS_AGENT ? "agent" : "entry"));
+  jsx_add (json, "name", json_object_new_string (m->name));
+  jsx_add (json, "domain", json_object_new_string (m->domain));
+  jsx_add (json, "address", json_object_new_string (address));
+  jsx_add (json, "incarnation", json_object_new_string (incarnation));
+  jsx_add (json, "slots", json_object_new_int ((int)m->slots));
+  if (since != 0)
+    jsx_add (json, "since", json_object_new_int64 ((int64_t)since));
+  text = talloc_strdup (
+      mem_ctx, json_object_to_json_string_ext (json, JSON_C_TO_STRING_PLAIN));
+  json_object_put (json);
+  return text;
+}
+
+char *
+ros_end_record (void *mem_ctx, uint64_t incarnation, const char *why)
+{
+  return talloc_asprintf (mem_ctx,
+                          "{\"type\":\"end\",\"incarnation\":\"%016" PRIx64
+                          "\",\"why\":\"%s\"}",
+                          incarnation, why);
+}
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,71 @@
+/**
+ * DOC: settings
+ *
+ * Settings files: JSON with comments, checked key by key against a table.
+ * Nested keys are written with dots.  Unknown keys are refused.
+ */
+#ifndef LV_SETTINGS_H
+#define LV_SETTINGS_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "error.h"
+
+/** Kinds of value that a key can take. */
+enum set_type
+{
+  SET_STRING,
+  SET_UINT,
+  SET_ADDRESS, /* "IP:PORT" */
+  SET_STRINGS, /* array of strings */
+};
+
+/** Entries that a SET_STRINGS key can hold. */
+#define SET_STRINGS_MAX 64
+
+/** struct set_strings - value of a SET_STRINGS key. */
+struct set_strings
+{
+  unsigned count;
+  char *item[SET_STRINGS_MAX];
+};
+
+/**
+ * struct set_key - one key that a settings file may hold
+ * @name: key, with dots for nesting
+ * @type: kind of value
+ * @offset: of the field in the settings structure
+ * @fallback: default as text; NULL makes the key required
+ * @min: least number, for SET_UINT
+ * @max: greatest number, for SET_UINT
+ * @help: unit and meaning, one line
+ */
+struct set_key
+{
+  const char *name;
+  enum set_type type;
+  size_t offset;
+  const char *fallback;
+  uint64_t min;
+  uint64_t max;
+  const char *help;
+};
+
+/**
+ * set_load() - read and check a settings file
+ * @mem_ctx: talloc parent of strings
+ * @keys: table of keys, ended by a NULL name
+ * @out: settings structure to fill
+ * @path: file to read
+ * @err: filled on failure: file, key, found, expected
+ *
+ * Return: 0 or a negative error number.
+ */
+int set_load (void *mem_ctx, const struct set_key *keys, void *out,
+              const char *path, struct err_error *err);
+
+/** set_describe() - print the table of keys to standard output. */
+void set_describe (const struct set_key *keys);
+
+#endif
--- /dev/null
+++ b/src/submission.c
@@ -0,0 +1,115 @@
+#include "lagoonvale/submission.h"
+
+#include <string.h>
+
+void
+sub_init (struct sub_core *s, struct sub_task *tasks, uint32_t count)
+{
+  memset (s, 0, sizeof *s);
+  memset (tasks, 0, count * sizeof *tasks);
+  s->task = tasks;
+  s->count = count;
+}
+
+bool
+sub_may_send (const struct sub_core *s, uint32_t i)
+{
+  return !s->closing && s->task[i].state == SUB_WAITING;
+}
+
+void
+sub_sent (struct sub_core *s, uint32_t i, uint64_t target)
+{
+  s->task[i].state = SUB_SENT;
+  s->task[i].target = target;
+  s->task[i].sends++;
+  s->in_flight++;
+}
+
+void
+sub_found (struct sub_core *s, uint32_t i, uint64_t target)
+{
+  if (s->task[i].state != SUB_WAITING)
+    return;
+  sub_sent (s, i, target);
+  s->task[i].state = SUB_CUT;
+}
+
+enum sub_step
+sub_cut (struct sub_core *s, uint32_t i)
+{
+  if (s->task[i].state != SUB_SENT && s->task[i].state != SUB_CUT)
+    return SUB_STEP_NONE;
+  s->task[i].state = SUB_CUT;
+  return SUB_STEP_RESOLVE;
+}
+
+/* A failed submission is decided at once if something may have run; "not run"
+   waits until nothing is in flight.  */
+static void
+decide (struct sub_core *s)
+{
+  if (s->verdict != SUB_OPEN)
+    return;
+  if (s->done == s->count)
+    s->verdict = SUB_COMPLETE;
+  else if (s->closing && s->any_ran)
+    s->verdict = SUB_MAY_HAVE_RUN;
+  else if (s->closing && s->in_flight == 0)
+    s->verdict = SUB_REFUSED;
+}
+
+static void
+settle (struct sub_core *s, uint32_t i, enum sub_state state)
+{
+  s->task[i].state = state;
+  s->in_flight--;
+  if (state != SUB_WAITING)
+    s->any_ran = true;
+  if (state == SUB_DONE)
+    s->done++;
+  if (state == SUB_FAILED || state == SUB_UNKNOWN)
+    s->closing = true;
+  decide (s);
+}
+
+enum sub_step
+sub_hear (struct sub_core *s, uint32_t i, uint64_t target,
+          enum sub_outcome outcome)
+{
+  struct sub_task *t = &s->task[i];
+
+  if (t->target != target || (t->state != SUB_SENT && t->state != SUB_CUT))
+    return SUB_STEP_NONE;
+  switch (outcome)
+    {
+    case SUB_OUT_RAN:
+      settle (s, i, SUB_DONE);
+      return SUB_STEP_NONE;
+    case SUB_OUT_FAILED:
+      settle (s, i, SUB_FAILED);
+      return SUB_STEP_NONE;
+    case SUB_OUT_NOT_STARTED:
+      settle (s, i, SUB_WAITING);
+      return s->closing ? SUB_STEP_NONE : SUB_STEP_REQUEUE;
+    case SUB_OUT_FENCED: /* another owner may run it */
+    case SUB_OUT_UNKNOWN:
+      settle (s, i, SUB_UNKNOWN);
+      return SUB_STEP_NONE;
+    }
+  return SUB_STEP_NONE;
+}
+
+void
+sub_give_up (struct sub_core *s, uint32_t i)
+{
+  if (s->task[i].state == SUB_SENT || s->task[i].state == SUB_CUT)
+    settle (s, i, SUB_UNKNOWN);
+}
+
+void
+sub_close (struct sub_core *s)
+{
+  s->closing = true;
+  decide (s);
+}
--- /dev/null
+++ b/src/wire.h
@@ -0,0 +1,65 @@
+/**
+ * DOC: wire
+ *
+ * Between the library's types and the generated message types.
+ */
+#ifndef LV_WIRE_H
+#define LV_WIRE_H
+
+#include "lagoonvale/sid.h"
+#include "lagoonvale/slice.h"
+#include "lvproto.h"
+
+/** wir_sid() - message form of @id. */
+static inline lvp_sid
+wir_sid (const struct sid_id *id)
+{
+  lvp_sid out = { .owner = id->owner,
+                  .roster = id->roster,
+                  .minted_ms = id->minted_ms,
+                  .seq = id->seq,
+                  .addr = id->addr,
+                  .port = id->port };
+  return out;
+}
+
+/** wir_to_sid() - library form of @in. */
+static inline struct sid_id
+wir_to_sid (const lvp_sid *in)
+{
+  struct sid_id id;
+
+  memset (&id, 0, sizeof id);
+  id.owner = in->owner;
+  id.roster = in->roster;
+  id.minted_ms = in->minted_ms;
+  id.seq = in->seq;
+  id.addr = in->addr;
+  id.port = in->port;
+  return id;
+}
+
+/** wir_bytes() - message form of borrowed bytes. */
+static inline lvp_bytes
+wir_bytes (struct lv_slice s)
+{
+  lvp_bytes b = { (u_int)s.len, (char *)s.data };
+  return b;
+}
+
+/** wir_slice() - borrowed view of message bytes. */
+static inline struct lv_slice
+wir_slice (const lvp_bytes *b)
+{
+  struct lv_slice s = { b->lvp_bytes_val, b->lvp_bytes_len };
+  return s;
+}
+
+/** WIR_FREE() - free what a decoder allocated in @value. */
+#define WIR_FREE(type, value) xdr_free ((xdrproc_t)xdr_##type, (char *)(value))
+
+/** WIR_DECODE() - decode @value, zeroed first. */
+#define WIR_DECODE(type, xdr, value)                                          \
+  (memset ((value), 0, sizeof *(value)), xdr_##type ((xdr), (value)))
+
+#endif
--- /dev/null
+++ b/standins/httpd.py
@@ -0,0 +1,54 @@
+"""A small asyncio HTTP/1.1 server shared by the stand-ins."""
+import asyncio
+import json
+import urllib.parse
+
+
+class Drop(Exception):
+    """Raised by a handler: close the connection without an answer."""
+
+
+class Server:
+    def __init__(self, handler):
+        self.handler = handler
+
+    async def serve(self, address):
+        host, port = address.rsplit(":", 1)
+        server = await asyncio.start_server(
+            self.connection, host, int(port), backlog=512)
+        async with server:
+            await server.serve_forever()
+
+    async def connection(self, reader, writer):
+        try:
+            while await self.exchange(reader, writer):
+                pass
+        except (ConnectionError, asyncio.IncompleteReadError, Drop):
+            pass
+        finally:
+            writer.close()
+
+    async def exchange(self, reader, writer):
+        line = await reader.readline()
+        if not line:
+            return False
+        method, target, _ = line.decode("latin-1").split(" ", 2)
+        length = 0
+        while True:
+            header = await reader.readline()
+            if header in (b"\r\n", b"\n", b""):
+                break
+            name, _, value = header.decode("latin-1").partition(":")
+            if name.strip().lower() == "content-length":
+                length = int(value)
+        body = await reader.readexactly(length) if length else b""
+        path, _, query = target.partition("?")
+        args = dict(urllib.parse.parse_qsl(query))
+        status, answer = await self.handler(method, path, args, body)
+        if not isinstance(answer, bytes):
+            answer = json.dumps(answer).encode()
+        writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
+                     b"Content-Length: %d\r\n\r\n" % (status, len(answer)))
+        writer.write(answer)
+        await writer.drain()
+        return True
