Start-once proofs with real processes; ids hashed without padding

Cause: the same key sent to two entries at once started 5 tasks twice. struct sid_id had 4 bytes of padding; ids are hashed as bytes, and a copy by value left garbage there, so the owner did not find its own record and accepted the submission a second time. The agents' ledgers missed it for the same reason. Ruled out: the bind protocol (the home answered with one id), the agents' start check (its unit table passes). Mended: an explicit zero field and a static assertion on the size. The fault proxy passed bytes on after it had dropped some, which TCP never does; such connections now end.

--- a/Makefile
+++ b/Makefile
@@ -52,9 +52,10 @@
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $(B)/lagoonvale-agent: $(B)/daemons/agent_main.o $(B)/liblagoonvale.a
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
-$(B)/lagoonvale: $(B)/cli/main.o $(B)/liblagoonvale.a
+$(B)/lagoonvale: $(B)/cli/main.o $(B)/cli/cli_rules.o $(B)/cli/cli_jobs.o $(B)/liblagoonvale.a
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
-$(B)/lagoonvale-load: $(B)/tools/load.o $(B)/liblagoonvale.a
+$(B)/lagoonvale-load: $(B)/tools/load.o $(B)/tools/load_scenario.o \
+  $(B)/tools/load_report.o $(B)/liblagoonvale.a
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $(B)/example-queue: $(B)/examples/queue.o $(B)/liblagoonvale.a
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
@@ -65,3 +66,28 @@
 	rm -rf build build-asan build-tsan
 
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
+
+# Each target installs what it needs; that is quick when it is there already.
+deps:
+	@tools/install $(PACKAGES)
+check-deps: deps
+	@tools/install $(CHECK_PACKAGES)
+
+demo: deps
+	@$(MAKE) -s all
+	@python3 tools/demo.py
+demo-up: deps
+	@$(MAKE) -s all
+	@python3 tools/demo.py up
+demo-down:
+	@python3 tools/demo.py down
+
+unit: $(B)/unit
+	$(B)/unit --gtest_brief=1
+
+check: deps
+	@$(MAKE) -s -j4 all $(B)/unit $(B)/model
+	@LV_BUILD=$(CURDIR)/$(B) python3 tests/run.py
+
+$(B)/model: $(B)/tests/model/model.o $(B)/liblagoonvale.a
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
--- /dev/null
+++ b/cli/cli.h
@@ -0,0 +1,52 @@
+/**
+ * DOC: cli
+ *
+ * What the commands of lagoonvale share.
+ */
+#ifndef LV_CLI_H
+#define LV_CLI_H
+
+#include <stdbool.h>
+#include <tevent.h>
+
+#include "http_client.h"
+
+/** struct cli_context - one run of the program. */
+struct cli_context
+{
+  struct tevent_context *ev;
+  struct hcl_client *client;
+};
+
+/** struct cli_reply - answer to a request made in the foreground. */
+struct cli_reply
+{
+  int err;
+  long status;
+  char *body; /* talloc, ends in NUL */
+};
+
+/** cli_http() - send a request and wait for its end. */
+struct cli_reply cli_http (struct cli_context *cli, const char *method,
+                           const char *url, struct lv_slice body,
+                           long timeout_ms);
+
+/** cli_read_file() - whole file as talloc text; complains and returns NULL. */
+char *cli_read_file (struct cli_context *cli, const char *path, size_t *len);
+
+/** cli_parse() - run argtable over @table; handles --help. Return: -1 to go
+ * on, or the exit code. */
+int cli_parse (int argc, char **argv, void **table, int count,
+               const char *command);
+
+/** cli_exit_for() - exit code for an answer of an entry. */
+int cli_exit_for (const struct cli_reply *reply);
+
+/** Commands: each takes the arguments from its own name on. */
+int cli_rules (struct cli_context *cli, int argc, char **argv);
+int cli_status (struct cli_context *cli, int argc, char **argv);
+int cli_settings (struct cli_context *cli, int argc, char **argv);
+int cli_submit (struct cli_context *cli, int argc, char **argv);
+int cli_cancel (struct cli_context *cli, int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/cli/cli_rules.c
@@ -0,0 +1,348 @@
+#include <argtable2.h>
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "clock.h"
+#include "cli.h"
+#include "daemon.h"
+#include "entropy.h"
+#include "jsonx.h"
+#include "lagoonvale/rules.h"
+#include "lagoonvale/ruleversion.h"
+
+#define TIMEOUT_MS 5000L
+#define FINDINGS_MAX 50
+#define RETRY_US 200000
+#define DEFAULT_WAIT_S 30
+
+static const struct lv_slice nothing = { NULL, 0 };
+
+static struct rul_set *
+check_text (struct cli_context *cli, const char *path, struct lv_slice text)
+{
+  struct rul_finding findings[FINDINGS_MAX];
+  uint32_t count;
+  struct rul_set *set
+      = rul_parse (cli->ev, text, findings, FINDINGS_MAX, &count);
+
+  for (uint32_t i = 0; i < count; i++)
+    fprintf (stderr, "%s:%u:%u: found %s, expected %s\n", path,
+             findings[i].line, findings[i].column, findings[i].found,
+             findings[i].expected);
+  return set;
+}
+
+static struct rul_set *
+check_file (struct cli_context *cli, const char *path, struct lv_slice *text)
+{
+  text->data = cli_read_file (cli, path, &text->len);
+  return text->data != NULL ? check_text (cli, path, *text) : NULL;
+}
+
+static int
+rules_check (struct cli_context *cli, int argc, char **argv)
+{
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
+  struct arg_file *file = arg_file1 (NULL, NULL, "FILE", "rule file");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { help, file, end };
+  int rc = cli_parse (argc, argv, table, 3, "rules check");
+
+  if (rc < 0)
+    {
+      struct lv_slice text;
+      struct rul_set *set = check_file (cli, file->filename[0], &text);
+      rc = set != NULL ? DMN_OK : DMN_USAGE;
+      if (set != NULL)
+        printf ("%s: %u rules, no mistakes\n", file->filename[0], set->count);
+    }
+  arg_freetable (table, 3);
+  return rc;
+}
+
+/* Read the rules stream on from where STATE stands; remember the fate of the
+   record whose id is ID.  Return: whether the end was reached.  */
+static bool
+read_stream (struct cli_context *cli, const char *log, struct rvs_state *state,
+             uint64_t *next, const char *id, enum rvs_fate *fate)
+{
+  char *url = talloc_asprintf (
+      cli->ev, "%s/streams/rules/records?from=%" PRIu64 "&max=1000", log,
+      *next);
+  struct cli_reply reply = cli_http (cli, "GET", url, nothing, TIMEOUT_MS);
+  struct json_object *json = NULL;
+  struct json_object *records = NULL;
+  size_t n;
+
+  if (reply.err == 0 && reply.status == 200)
+    json = jsx_parse (lv_slice_of (reply.body));
+  if (!json_object_object_get_ex (json, "records", &records))
+    {
+      json_object_put (json);
+      return false;
+    }
+  rvs_begin (state, jsx_uint (json, "first", 1));
+  n = json_object_array_length (records);
+  for (size_t i = 0; i < n; i++)
+    {
+      struct json_object *record = json_object_array_get_idx (records, i);
+      const char *data = jsx_string (record, "data", "");
+      uint64_t offset = jsx_uint (record, "offset", 0);
+      enum rvs_fate f = rvs_apply (state, offset, jsx_uint (record, "ms", 0),
+                                   lv_slice_of (data));
+      *next = offset + 1;
+      if (id != NULL && strstr (data, id) != NULL
+          && (f == RVS_ACCEPTED || f == RVS_LOST) && *fate == RVS_HELD)
+        *fate = f;
+    }
+  json_object_put (json);
+  return n < 1000;
+}
+
+static void
+print_difference (const char *mine, const char *theirs)
+{
+  while (*theirs != '\0')
+    {
+      size_t len = strcspn (theirs, "\n");
+      char *line = talloc_strndup (NULL, theirs, len);
+      if (len > 0 && strstr (mine, line) == NULL)
+        printf ("+ %s\n", line);
+      talloc_free (line);
+      theirs += len + (theirs[len] == '\n');
+    }
+}
+
+static int
+report_fate (const struct rvs_state *state, enum rvs_fate fate,
+             const char *text)
+{
+  if (fate == RVS_ACCEPTED)
+    {
+      printf ("accepted: version %" PRIu64 "\n", state->version);
+      return DMN_OK;
+    }
+  if (fate == RVS_LOST)
+    {
+      printf ("lost to version %" PRIu64
+              ", published at the same time; lines there and not here:\n",
+              state->version);
+      print_difference (text, state->text != NULL ? state->text : "");
+      return DMN_REFUSED;
+    }
+  printf ("not known yet: the log does not answer; run \"rules show\" later "
+          "and do not publish again before\n");
+  return DMN_UNKNOWN;
+}
+
+static int
+publish (struct cli_context *cli, const char *log, struct lv_slice text,
+         int64_t base, unsigned wait_s)
+{
+  struct rvs_state state;
+  enum rvs_fate fate = RVS_HELD;
+  uint64_t next = 1;
+  uint64_t end_ns = clk_now () + wait_s * CLK_S;
+  bool appended = false;
+  char id[RVS_ID_MAX];
+  char *record;
+  char *url = talloc_asprintf (cli->ev, "%s/streams/rules/append", log);
+
+  rvs_init (&state, cli->ev);
+  snprintf (id, sizeof id, "%016" PRIx64 "%016" PRIx64, rnd_u64 (),
+            rnd_u64 ());
+  while (!read_stream (cli, log, &state, &next, NULL, &fate) || !state.known)
+    {
+      if (clk_now () > end_ns)
+        {
+          printf ("refused: the log does not answer or its state is not "
+                  "known; nothing was published\n");
+          return DMN_REFUSED;
+        }
+      usleep (RETRY_US);
+    }
+  record = rvs_publish_record (cli->ev, base >= 0 ? (uint64_t)base
+                                                  : state.version,
+                               id, "operator", text);
+  while (fate == RVS_HELD && clk_now () < end_ns)
+    {
+      /* The record goes out once.  A reply that says it was not taken lets it
+         go again; a lost reply does not: the stream tells its fate.  */
+      if (!appended)
+        {
+          struct cli_reply reply = cli_http (cli, "ONCE", url,
+                                             lv_slice_of (record), TIMEOUT_MS);
+          appended = reply.err == 0 ? reply.status == 200
+                                    : reply.err != -ECONNREFUSED;
+        }
+      read_stream (cli, log, &state, &next, id, &fate);
+      if (fate == RVS_HELD)
+        usleep (RETRY_US);
+    }
+  return report_fate (&state, fate, text.data);
+}
+
+static int
+rules_publish (struct cli_context *cli, int argc, char **argv)
+{
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
+  struct arg_str *log
+      = arg_str1 ("l", "log", "URL", "platform log, http://IP:PORT");
+  struct arg_int *base = arg_int0 ("b", "base", "N",
+                                   "version that the file was edited from");
+  struct arg_int *wait
+      = arg_int0 ("w", "wait", "SECONDS", "how long to read back");
+  struct arg_file *file = arg_file1 (NULL, NULL, "FILE", "rule file");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { help, log, base, wait, file, end };
+  int rc = cli_parse (argc, argv, table, 6, "rules publish");
+
+  if (rc < 0)
+    {
+      struct lv_slice text;
+      rc = DMN_USAGE;
+      if (check_file (cli, file->filename[0], &text) != NULL)
+        rc = publish (cli, log->sval[0], text,
+                      base->count > 0 ? base->ival[0] : -1,
+                      wait->count > 0 ? (unsigned)wait->ival[0]
+                                      : DEFAULT_WAIT_S);
+    }
+  arg_freetable (table, 6);
+  return rc;
+}
+
+static struct json_object *
+rules_of (struct cli_context *cli, const char *entry)
+{
+  char *url = talloc_asprintf (cli->ev, "%s/v1/rules", entry);
+  struct cli_reply reply = cli_http (cli, "GET", url, nothing, TIMEOUT_MS);
+  struct json_object *json = NULL;
+
+  if (reply.err == 0 && reply.status == 200)
+    json = jsx_parse (lv_slice_of (reply.body));
+  if (json == NULL)
+    fprintf (stderr, "error: step=rules peer=%s: no answer\n", entry);
+  return json;
+}
+
+static int
+rules_show (struct cli_context *cli, int argc, char **argv)
+{
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
+  struct arg_str *entry = arg_strn ("e", "entry", "URL", 1, 64,
+                                    "entries, http://IP:PORT, repeatable");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { help, entry, end };
+  int rc = cli_parse (argc, argv, table, 3, "rules show");
+
+  if (rc < 0)
+    {
+      rc = DMN_OK;
+      for (int i = 0; i < entry->count; i++)
+        {
+          struct json_object *json = rules_of (cli, entry->sval[i]);
+          if (json == NULL)
+            {
+              rc = DMN_FAILED;
+              continue;
+            }
+          printf ("%s: version %" PRIu64 "\n",
+                  jsx_string (json, "instance", "?"),
+                  jsx_uint (json, "version", 0));
+          if (i == 0)
+            fputs (jsx_string (json, "text", ""), stdout);
+          json_object_put (json);
+        }
+    }
+  arg_freetable (table, 3);
+  return rc;
+}
+
+static int
+rules_diff (struct cli_context *cli, int argc, char **argv)
+{
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
+  struct arg_str *entry
+      = arg_str1 ("e", "entry", "URL", "entry, http://IP:PORT");
+  struct arg_file *file = arg_file1 (NULL, NULL, "FILE", "rule file");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { help, entry, file, end };
+  int rc = cli_parse (argc, argv, table, 4, "rules diff");
+
+  if (rc < 0)
+    {
+      struct lv_slice text;
+      struct json_object *json;
+      rc = DMN_USAGE;
+      if (check_file (cli, file->filename[0], &text) != NULL)
+        {
+          json = rules_of (cli, entry->sval[0]);
+          rc = json != NULL ? DMN_OK : DMN_FAILED;
+          if (json != NULL)
+            {
+              printf ("in force in version %" PRIu64 " and not in %s:\n",
+                      jsx_uint (json, "version", 0), file->filename[0]);
+              print_difference (text.data, jsx_string (json, "text", ""));
+              printf ("in %s and not in force:\n", file->filename[0]);
+              print_difference (jsx_string (json, "text", ""), text.data);
+            }
+          json_object_put (json);
+        }
+    }
+  arg_freetable (table, 4);
+  return rc;
+}
+
+static int
+rules_explain (struct cli_context *cli, int argc, char **argv)
+{
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
+  struct arg_str *entry
+      = arg_str1 ("e", "entry", "URL", "entry, http://IP:PORT");
+  struct arg_file *file = arg_file1 (NULL, NULL, "FILE", "example request");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { help, entry, file, end };
+  int rc = cli_parse (argc, argv, table, 4, "rules explain");
+
+  if (rc < 0)
+    {
+      struct lv_slice body;
+      struct cli_reply reply;
+      char *url = talloc_asprintf (cli->ev, "%s/v1/explain", entry->sval[0]);
+      body.data = cli_read_file (cli, file->filename[0], &body.len);
+      rc = DMN_USAGE;
+      if (body.data != NULL)
+        {
+          reply = cli_http (cli, "ONCE", url, body, TIMEOUT_MS);
+          rc = reply.err == 0 && reply.status == 200 ? DMN_OK : DMN_FAILED;
+          puts (reply.body);
+        }
+    }
+  arg_freetable (table, 4);
+  return rc;
+}
+
+static const struct
+{
+  const char *name;
+  int (*run) (struct cli_context *cli, int argc, char **argv);
+} actions[] = {
+  { "check", rules_check }, { "publish", rules_publish },
+  { "show", rules_show },   { "diff", rules_diff },
+  { "explain", rules_explain },
+};
+
+int
+cli_rules (struct cli_context *cli, int argc, char **argv)
+{
+  for (size_t i = 0; argc > 1 && i < sizeof actions / sizeof actions[0]; i++)
+    if (strcmp (argv[1], actions[i].name) == 0)
+      return actions[i].run (cli, argc - 1, argv + 1);
+  fputs ("Usage: lagoonvale rules check|publish|show|diff|explain [--help]\n",
+         argc > 1 && strcmp (argv[1], "--help") == 0 ? stdout : stderr);
+  return argc > 1 && strcmp (argv[1], "--help") == 0 ? DMN_OK : DMN_USAGE;
+}
--- a/include/lagoonvale/adopt.h
+++ b/include/lagoonvale/adopt.h
@@ -22,8 +22,8 @@
   ADP_GONE, /* cannot answer */
 };
 
-/** enum adp_next - what to do */
-enum adp_next
+/** enum adp_action - what to do */
+enum adp_action
 {
   ADP_WAIT,      /* answers are to come */
   ADP_PRESS,     /* fence the held agents again, not politely */
@@ -73,7 +73,7 @@
 void adp_gone (struct adp_adoption *a, uint32_t i);
 
 /** adp_next() - what follows; ADP_PRESS resets held agents to pending. */
-enum adp_next adp_next (struct adp_adoption *a);
+enum adp_action adp_next (struct adp_adoption *a);
 
 /**
  * adp_overrule() - the rival cannot be reached: go on above its ballot
--- /dev/null
+++ b/include/lagoonvale/lagoonvale.h
@@ -0,0 +1,33 @@
+/**
+ * DOC: lagoonvale
+ *
+ * The coordination parts of lagoonvale, for embedding.  None of them does I/O,
+ * reads a clock or keeps global state: time and randomness are passed in, and
+ * memory comes from a talloc context that the caller hands in.
+ *
+ * Identity:  sid (submission ids), roster (members, homes of keys)
+ * Starting:  ledger, submission, adopt, keybind
+ * Deciding:  queue, estimate, grant, placement, health
+ * Rules:     rules, ruleversion
+ * Metrics:   counter
+ */
+#ifndef LV_LAGOONVALE_H
+#define LV_LAGOONVALE_H
+
+#include "lagoonvale/adopt.h"
+#include "lagoonvale/counter.h"
+#include "lagoonvale/estimate.h"
+#include "lagoonvale/grant.h"
+#include "lagoonvale/health.h"
+#include "lagoonvale/keybind.h"
+#include "lagoonvale/ledger.h"
+#include "lagoonvale/placement.h"
+#include "lagoonvale/queue.h"
+#include "lagoonvale/roster.h"
+#include "lagoonvale/rules.h"
+#include "lagoonvale/ruleversion.h"
+#include "lagoonvale/sid.h"
+#include "lagoonvale/slice.h"
+#include "lagoonvale/submission.h"
+
+#endif
--- a/include/lagoonvale/sid.h
+++ b/include/lagoonvale/sid.h
@@ -24,6 +24,7 @@
  * @seq: counter of the minting entry
  * @addr: IPv4 address of the owner, host byte order
  * @port: RPC port of the owner
+ * @zero: always 0; ids are hashed as bytes, so there must be no padding
  */
 struct sid_id
 {
@@ -33,6 +34,7 @@
   uint32_t seq;
   uint32_t addr;
   uint32_t port;
+  uint32_t zero;
 };
 
 /** sid_format() - write the text form of @id into @text. */
--- a/src/adopt.c
+++ b/src/adopt.c
@@ -50,7 +50,7 @@
       a->agent[i].state = ADP_PENDING;
 }
 
-enum adp_next
+enum adp_action
 adp_next (struct adp_adoption *a)
 {
   uint32_t held = count_state (a, ADP_HELD);
--- a/src/entry.c
+++ b/src/entry.c
@@ -35,6 +35,8 @@
        "RPC address for other entries, IP:PORT"),
   KEY ("advertise", SET_ADDRESS, advertise, "", 0, 0,
        "address that other entries use, if not the listen address"),
+  KEY ("source", SET_ADDRESS, source, "", 0, 0,
+       "address that RPC connections come from, IP:0; any if empty"),
   KEY ("http.listen", SET_ADDRESS, http, NULL, 0, 0,
        "HTTP address for callers, IP:PORT"),
   KEY ("http.threads", SET_UINT, http_threads, "2", 1, 64, "threads"),
@@ -221,7 +223,7 @@
   ent_link_tick (e, now);
   ent_peer_tick (e, now);
   ent_log_tick (e, now);
-  ent_intake_tick (e, now);
+  ent_record_tick (e, now);
   ent_record_expire (e, now);
   ros_expire (&e->roster, clk_wall_ms () - 4 * e->set.window_s * 1000);
   update_gauges (e);
--- a/src/entry.h
+++ b/src/entry.h
@@ -52,6 +52,7 @@
   char *domain;
   char *listen;
   char *advertise;
+  char *source;
   char *http;
   char *log_url;
   char *log_level;
@@ -160,6 +161,7 @@
   const char *fail_step;
   char fail_peer[ERR_PEER_MAX];
   uint64_t began_ns;
+  uint64_t progress_ns; /* a task was last sent or ended */
   uint64_t ended_ns;
   size_t bytes;
   struct ent_adoption *adoption;
@@ -266,11 +268,11 @@
   struct tevent_immediate *pump;
 
   struct ent_record *records;
+  struct ent_record *open;
   struct ent_record *ended;
   size_t record_bytes;
   uint32_t open_records;
   struct ent_peer *peers;
-  struct req_request *timed;
   uint32_t held_requests;
 
   bool leaving;
@@ -318,14 +320,15 @@
 bool ent_in_doubt (const struct ent_entry *e, const struct sid_id *sid);
 /** ent_mint() - a new submission id. */
 void ent_mint (struct ent_entry *e, struct sid_id *sid);
-/** ent_intake_tick() - end polls whose time is over. */
-void ent_intake_tick (struct ent_entry *e, uint64_t now_ns);
 
 /* entry_admit.c */
 
 /** ent_admit() - may this submission be queued? Return: whether it may. */
 bool ent_admit (struct ent_entry *e, const struct req_request *r,
                 struct req_refusal *why);
+/** ent_longest_wait_ms() - longest expected wait that is admitted. */
+uint64_t ent_longest_wait_ms (const struct ent_entry *e,
+                              const struct req_request *r);
 /** ent_explain() - JSON text: which rules apply to @r and what follows. */
 char *ent_explain (struct ent_entry *e, const struct req_request *r);
 /** ent_usage_add() - @n more tasks of this team and kind are running. */
@@ -357,6 +360,9 @@
 void ent_record_wait (struct ent_record *rec, struct req_request *r);
 /** ent_record_drop() - forget a record that never opened; waiters go on. */
 struct req_request *ent_record_drop (struct ent_record *rec);
+/** ent_record_tick() - end polls whose time is over, and submissions that have
+ * waited without progress for longer than they may. */
+void ent_record_tick (struct ent_entry *e, uint64_t now_ns);
 /** ent_record_expire() - forget records that ended long ago. */
 void ent_record_expire (struct ent_entry *e, uint64_t now_ns);
 
--- a/src/entry_admit.c
+++ b/src/entry_admit.c
@@ -199,8 +199,8 @@
   return slots / ent_entries (e);
 }
 
-static uint64_t
-longest_wait_ms (const struct ent_entry *e, const struct req_request *r)
+uint64_t
+ent_longest_wait_ms (const struct ent_entry *e, const struct req_request *r)
 {
   uint64_t longest = rul_value (e->view->rules, RUL_WAIT, RUL_URGENCY,
                                 lv_slice_of (req_urgency_name (r->urgency)),
@@ -226,7 +226,7 @@
                 struct req_refusal *why)
 {
   uint64_t wait = expected_wait_ms (e, r);
-  uint64_t longest = longest_wait_ms (e, r);
+  uint64_t longest = ent_longest_wait_ms (e, r);
 
   if (wait <= longest)
     return true;
@@ -301,7 +301,7 @@
   jsx_add (json, "expected_wait_ms",
            json_object_new_int64 ((int64_t)expected_wait_ms (e, r)));
   jsx_add (json, "longest_wait_ms",
-           json_object_new_int64 ((int64_t)longest_wait_ms (e, r)));
+           json_object_new_int64 ((int64_t)ent_longest_wait_ms (e, r)));
   jsx_add (json, "learned_ms",
            json_object_new_int64 (
                (int64_t)(est_mean (&e->estimates,
--- a/src/entry_dispatch.c
+++ b/src/entry_dispatch.c
@@ -118,6 +118,7 @@
                                     out->output.lvp_bytes_len);
       task->output_len = out->output.lvp_bytes_len;
     }
+  rec->progress_ns = clk_now ();
   if (!call->cancel)
     ent_usage_add (e, team_of (rec), lv_slice_of (task->spec->kind), -1);
   learn (call, rec, task, out);
@@ -292,6 +293,7 @@
   if (msg.credited)
     link->credits--;
   sub_sent (&rec->core, task->index, link->member->incarnation);
+  rec->progress_ns = now_ns;
   ent_usage_add (e, team_of (rec), lv_slice_of (task->spec->kind), 1);
   hlt_probe (&link->health);
   ctr_add (&e->counters, ENT_STARTS, 1);
--- a/src/entry_intake.c
+++ b/src/entry_intake.c
@@ -311,32 +311,3 @@
       return;
     }
 }
-
-static void
-end_timed (struct ent_record *rec, uint64_t now_ns)
-{
-  struct req_request *w;
-  struct req_request *next;
-
-  DL_FOREACH_SAFE (rec->waiters, w, next)
-  {
-    if (w->until_ns == 0 || now_ns < w->until_ns)
-      continue;
-    DL_DELETE (rec->waiters, w);
-    w->wait = false;
-    ent_record_wait (rec, w);
-  }
-}
-
-void
-ent_intake_tick (struct ent_entry *e, uint64_t now_ns)
-{
-  struct ent_record *rec;
-  struct ent_record *next;
-
-  HASH_ITER (hh, e->records, rec, next)
-  {
-    if (rec->phase != ENT_ENDED)
-      end_timed (rec, now_ns);
-  }
-}
--- a/src/entry_link.c
+++ b/src/entry_link.c
@@ -150,7 +150,7 @@
 
   net_format (link->member->addr, link->member->port, address);
   link->retry_ns = clk_now () + RETRY_NS;
-  fd = net_connect (address);
+  fd = net_connect (address, e->set.source);
   if (fd < 0)
     return;
   memset (&hello, 0, sizeof hello);
--- a/src/entry_peer.c
+++ b/src/entry_peer.c
@@ -217,7 +217,7 @@
 
   net_format (peer->addr, peer->port, address);
   peer->retry_ns = clk_now () + RETRY_NS;
-  fd = net_connect (address);
+  fd = net_connect (address, e->set.source);
   if (fd < 0)
     return;
   memset (&hello, 0, sizeof hello);
--- a/src/entry_record.c
+++ b/src/entry_record.c
@@ -54,12 +54,14 @@
   memcpy (&rec->sid, sid, sizeof *sid);
   rec->fingerprint = r->fingerprint;
   rec->began_ns = clk_now ();
+  rec->progress_ns = rec->began_ns;
   rec->phase = ENT_BINDING;
   ent_record_wait (rec, req_waiter (r));
   rec->body = talloc_steal (rec, r);
   make_tasks (rec);
   charge (rec, sizeof *rec + r->raw_len + r->count * TASK_BYTES);
   HASH_ADD (hh, e->records, sid, sizeof rec->sid, rec);
+  DL_APPEND (e->open, rec);
   e->open_records++;
   ctr_add (&e->counters, ENT_SUBMISSIONS, 1);
   return rec;
@@ -191,6 +193,7 @@
   rec->answer = answer;
   log_end (rec, state);
   answer_waiters (rec);
+  DL_DELETE (e->open, rec);
   DL_APPEND (e->ended, rec);
   e->open_records--;
   charge (rec, sizeof *rec + answer->len
@@ -281,6 +284,7 @@
   rec->answer = req_answer_refusal (why, &rec->sid);
   log_end (rec, why->not_run ? "refused" : "refused-may-have-run");
   answer_waiters (rec);
+  DL_DELETE (e->open, rec);
   e->open_records--;
   forget (rec);
 }
@@ -325,11 +329,54 @@
               "the key belongs to another submission; send the key again");
   rec->answer = req_answer_refusal (&why, &rec->sid);
   answer_waiters (rec);
+  DL_DELETE (rec->entry->open, rec);
   rec->entry->open_records--;
   forget (rec);
   return body;
 }
 
+static void
+end_timed (struct ent_record *rec, uint64_t now_ns)
+{
+  struct req_request *w;
+  struct req_request *next;
+
+  DL_FOREACH_SAFE (rec->waiters, w, next)
+  {
+    if (w->until_ns == 0 || now_ns < w->until_ns)
+      continue;
+    DL_DELETE (rec->waiters, w);
+    w->wait = false;
+    ent_record_wait (rec, w);
+  }
+}
+
+/* Nobody waits on work that will never come.  */
+static void
+end_stuck (struct ent_record *rec, uint64_t now_ns)
+{
+  uint64_t longest_ns;
+
+  if (rec->phase != ENT_OPEN || rec->core.in_flight > 0)
+    return;
+  longest_ns = ent_longest_wait_ms (rec->entry, rec->body) * CLK_MS;
+  if (now_ns - rec->progress_ns > longest_ns)
+    ent_record_fail (rec, "waited_too_long", "queue", "");
+}
+
+void
+ent_record_tick (struct ent_entry *e, uint64_t now_ns)
+{
+  struct ent_record *rec;
+  struct ent_record *next;
+
+  DL_FOREACH_SAFE (e->open, rec, next)
+  {
+    end_timed (rec, now_ns);
+    end_stuck (rec, now_ns);
+  }
+}
+
 void
 ent_record_expire (struct ent_entry *e, uint64_t now_ns)
 {
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -71,17 +71,8 @@
 find_sub (const struct led_ledger *l, const struct sid_id *sid)
 {
   struct led_sub *sub;
-  struct sid_id key;
-
-  /* The key is compared as bytes, so its padding must be zero.  */
-  memset (&key, 0, sizeof key);
-  key.owner = sid->owner;
-  key.roster = sid->roster;
-  key.minted_ms = sid->minted_ms;
-  key.seq = sid->seq;
-  key.addr = sid->addr;
-  key.port = sid->port;
-  HASH_FIND (hh, l->by_id, &key, sizeof key, sub);
+
+  HASH_FIND (hh, l->by_id, sid, sizeof *sid, sub);
   return sub;
 }
 
@@ -97,12 +88,7 @@
       sub = talloc_zero (l->mem_ctx, struct led_sub);
       if (sub == NULL)
         return NULL;
-      sub->sid.owner = sid->owner;
-      sub->sid.roster = sid->roster;
-      sub->sid.minted_ms = sid->minted_ms;
-      sub->sid.seq = sid->seq;
-      sub->sid.addr = sid->addr;
-      sub->sid.port = sid->port;
+      sub->sid = *sid;
       l->bytes += sizeof *sub;
       HASH_ADD (hh, l->by_id, sid, sizeof sub->sid, sub);
     }
--- a/src/net.c
+++ b/src/net.c
@@ -77,10 +77,31 @@
   return fd;
 }
 
+static int
+connect_from (int fd, const struct sockaddr_in *address, const char *source)
+{
+  struct sockaddr_in from;
+  int one = 1;
+
+  if (source != NULL)
+    {
+      if (net_parse (&from, source) != 0)
+        return -EINVAL;
+      setsockopt (fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &one, sizeof one);
+      if (bind (fd, (struct sockaddr *)&from, sizeof from) != 0)
+        return -errno;
+    }
+  if (connect (fd, (const struct sockaddr *)address, sizeof *address) != 0
+      && errno != EINPROGRESS)
+    return -errno;
+  return 0;
+}
+
 int
-net_connect (const char *text)
+net_connect (const char *text, const char *source)
 {
   struct sockaddr_in address;
+  int rc;
   int fd;
 
   if (net_parse (&address, text) != 0)
@@ -89,14 +110,11 @@
   if (fd < 0)
     return -errno;
   prepare (fd);
-  if (connect (fd, (struct sockaddr *)&address, sizeof address) != 0
-      && errno != EINPROGRESS)
-    {
-      int code = -errno;
-      close (fd);
-      return code;
-    }
-  return fd;
+  rc = connect_from (fd, &address, source);
+  if (rc == 0)
+    return fd;
+  close (fd);
+  return rc;
 }
 
 struct server
--- a/src/net.h
+++ b/src/net.h
@@ -22,8 +22,14 @@
 /** net_listen() - listening socket. Return: descriptor or -errno. */
 int net_listen (const char *text);
 
-/** net_connect() - begin a connection. Return: descriptor or -errno. */
-int net_connect (const char *text);
+/**
+ * net_connect() - begin a connection
+ * @text: "IP:PORT"
+ * @source: address to connect from, "IP:0"; NULL for any
+ *
+ * Return: descriptor or -errno.
+ */
+int net_connect (const char *text, const char *source);
 
 /**
  * net_serve() - listen and hand each accepted, non-blocking socket on
--- a/src/sid.c
+++ b/src/sid.c
@@ -6,6 +6,8 @@
 #include <xxhash.h>
 
 
+_Static_assert (sizeof (struct sid_id) == 40, "struct sid_id has padding");
+
 void
 sid_format (const struct sid_id *id, char text[SID_TEXT_MAX])
 {
@@ -32,6 +34,7 @@
               &id->seq)
       != 6)
     return -EINVAL;
+  id->zero = 0;
   sid_format (id, canonical);
   return strcmp (copy, canonical) == 0 ? 0 : -EINVAL;
 }
--- a/src/wire.h
+++ b/src/wire.h
@@ -27,15 +27,12 @@
 static inline struct sid_id
 wir_to_sid (const lvp_sid *in)
 {
-  struct sid_id id;
-
-  memset (&id, 0, sizeof id);
-  id.owner = in->owner;
-  id.roster = in->roster;
-  id.minted_ms = in->minted_ms;
-  id.seq = in->seq;
-  id.addr = in->addr;
-  id.port = in->port;
+  struct sid_id id = { .owner = in->owner,
+                       .roster = in->roster,
+                       .minted_ms = in->minted_ms,
+                       .seq = in->seq,
+                       .addr = in->addr,
+                       .port = in->port };
   return id;
 }
 
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -4,8 +4,10 @@
 fault_proxy.py --control IP:PORT --route NAME=IP:PORT>IP:PORT ...
 
 POST /control {"route": NAME or "*", ...} with any of
+     "from": IP              only connections from this address
      "delay_ms": N           one way, both directions
-     "cut": bool             reset open connections, refuse new ones
+     "cut": bool             reset open connections, refuse new ones ("from"
+                             names those refused; "" for all)
      "reset": bool           reset open connections once
      "drop": "in"|"out"|""   silently drop one direction (towards the target:
                              "in") of all connections, open and new
@@ -24,10 +26,12 @@
 
 
 class Link:
-    def __init__(self, route):
+    def __init__(self, route, source):
         self.route = route
+        self.source = source
         self.frozen = set()
         self.wake = asyncio.Event()
+        self.lost = False
         self.writers = []
 
     def close(self):
@@ -39,8 +43,9 @@
     def __init__(self, name, listen, target):
         self.name, self.listen, self.target = name, listen, target
         self.delay = 0.0
-        self.cut = False
+        self.cut = None  # "" for everybody, or the address that is cut off
         self.drop = ""
+        self.drop_from = ""
         self.links = set()
         self.bytes = 0
 
@@ -49,7 +54,8 @@
         await asyncio.start_server(self.accept, host, int(port), backlog=512)
 
     async def accept(self, reader, writer):
-        if self.cut:
+        source = writer.get_extra_info("peername")[0]
+        if self.cut is not None and self.cut in ("", source):
             writer.transport.abort()
             return
         host, port = self.target.rsplit(":", 1)
@@ -62,7 +68,7 @@
         for w in (writer, far_writer):
             sock = w.get_extra_info("socket")
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        link = Link(self)
+        link = Link(self, source)
         link.writers = [writer, far_writer]
         self.links.add(link)
         await asyncio.gather(self.pump(link, "in", reader, far_writer),
@@ -98,7 +104,8 @@
             if not data:
                 writer.close()
                 return
-            if self.drop == way:
+            if self.drop == way and self.drop_from in ("", link.source):
+                link.lost = True
                 continue
             self.bytes += len(data)
             try:
@@ -108,29 +115,38 @@
                 pass
 
     def change(self, what):
+        source = what.get("from", "")
+        chosen = [x for x in self.links if source in ("", x.source)]
         if "delay_ms" in what:
             self.delay = what["delay_ms"] / 1000
         if "drop" in what:
             self.drop = what["drop"]
+            self.drop_from = source
+            # TCP delivers no bytes after lost ones: such connections are over.
+            for link in [x for x in self.links if x.lost]:
+                link.close()
         if "cut" in what:
-            self.cut = what["cut"]
+            self.cut = source if what["cut"] else None
         if what.get("cut") or what.get("reset"):
-            for link in list(self.links):
+            for link in chosen:
                 link.close()
         if "freeze" in what:
-            ways = {"in", "out"}
-            if what.get("freeze_way", "both") != "both":
-                ways = {what["freeze_way"]}
-            links = sorted(self.links, key=id)
-            if what["freeze"] != "all":
-                links = links[:what["freeze"]]
-            for link in links:
-                link.frozen |= ways
+            self.freeze(what, chosen)
         if what.get("thaw"):
-            for link in self.links:
+            for link in chosen:
                 link.frozen.clear()
                 link.wake.set()
 
+    def freeze(self, what, links):
+        ways = {"in", "out"}
+        if what.get("freeze_way", "both") != "both":
+            ways = {what["freeze_way"]}
+        links = sorted(links, key=id)
+        if what["freeze"] != "all":
+            links = links[:what["freeze"]]
+        for link in links:
+            link.frozen |= ways
+
 
 async def main():
     parser = argparse.ArgumentParser(description=__doc__)
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -245,6 +245,7 @@
         settings = {"name": plan["name"], "domain": plan["domain"],
                     "listen": plan["rpc"], "advertise": plan["advertise"],
                     "http.listen": plan["http"], "log.url": self.log_url,
+                    "source": self.source(i) + ":0",
                     "seeds": [p["advertise"] for p in self.entry_plan
                               if p is not plan]}
         settings.update(self.entry_settings)
@@ -254,6 +255,11 @@
                           [os.path.join(BUILD, "lagoonvale-entry"), path],
                           plan["http"], "http://%s/readyz" % plan["http"])
 
+    @staticmethod
+    def source(i):
+        """Address that RPC connections of entry i come from."""
+        return "127.0.1.%d" % (10 + i)
+
     def start_all(self, rules=None):
         assert wait_until(self.log.ready), "log stand-in"
         if rules is not None:
@@ -294,6 +300,10 @@
 
     # -- talking to it ----------------------------------------------------
 
+    def cut_entry(self, i, route="*", cut=True):
+        """Cut entry i off from the targets of a route, or let it back."""
+        self.fault(route, cut=cut, **{"from": self.source(i)})
+
     def url(self, i, path):
         return "http://%s%s" % (self.entry_plan[i]["http"], path)
 
--- /dev/null
+++ b/tools/load.c
@@ -0,0 +1,252 @@
+/**
+ * DOC: lagoonvale-load
+ *
+ * Runs a scenario against entries and prints response time over the ideal.
+ */
+#include "load.h"
+
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "clock.h"
+#include "daemon.h"
+#include "http_client.h"
+#include "jsonx.h"
+#include "request.h"
+
+#define CONNECTIONS 8192L
+#define ANSWER_TIMEOUT_MS 120000L
+#define DRAIN_S 60
+
+struct run
+{
+  const struct load_scenario *scenario;
+  struct load_plan *plan;
+  struct tevent_context *ev;
+  struct hcl_client *client;
+  const char *entries[LOAD_ENTRIES_MAX];
+  int entry_count;
+  uint64_t began_ns;
+  uint32_t next;
+  uint32_t open;
+};
+
+struct sent
+{
+  struct run *run;
+  struct load_job *job;
+};
+
+static enum load_end
+end_of (int err, long status, struct lv_slice body)
+{
+  if (err != 0)
+    return LOAD_NO_ANSWER;
+  if (status == 200)
+    return LOAD_COMPLETE;
+  return body.data != NULL && strstr (body.data, "\"not_run\":true") != NULL
+             ? LOAD_REFUSED
+             : LOAD_FAILED;
+}
+
+static void
+answered (int err, long status, struct lv_slice body, void *priv)
+{
+  struct sent *sent = priv;
+  struct run *run = sent->run;
+  uint64_t due = run->began_ns + sent->job->due_ns;
+
+  sent->job->response_ms = (double)(clk_now () - due) / CLK_MS;
+  sent->job->end = end_of (err, status, body);
+  run->open--;
+  talloc_free (sent);
+}
+
+static char *
+body_of (const struct run *run, const struct load_job *job)
+{
+  const struct load_stream *st = &run->scenario->stream[job->stream];
+  char *text = talloc_asprintf (
+      NULL, "{\"team\":\"%s\",\"urgency\":\"%s\",\"kind\":\"%s\",", st->team,
+      req_urgency_name (st->urgency), st->kind[job->kind].name);
+
+  if (st->deadline_ms > 0)
+    text = talloc_asprintf_append_buffer (text, "\"deadline_ms\":%u,",
+                                          st->deadline_ms);
+  text = talloc_strdup_append_buffer (text, "\"tasks\":[");
+  for (uint32_t i = 0; i < job->tasks; i++)
+    {
+      double ms = run->plan->run_ms[job->first_task + i];
+      text = talloc_asprintf_append_buffer (
+          text,
+          "%s{\"declared_ms\":%u,\"payload\":{\"run_ms\":%.2f,"
+          "\"out_bytes\":%u}}",
+          i > 0 ? "," : "", (unsigned)(ms * st->declared_factor), ms,
+          st->out_bytes);
+    }
+  return talloc_strdup_append_buffer (text, "]}");
+}
+
+static void
+send_job (struct run *run, struct load_job *job, uint32_t number)
+{
+  const struct load_stream *st = &run->scenario->stream[job->stream];
+  struct sent *sent = talloc_zero (run->ev, struct sent);
+  int entry = st->entry >= 0 ? st->entry % run->entry_count
+                             : (int)(number % (uint32_t)run->entry_count);
+  char *url = talloc_asprintf (sent, "%s/v1/jobs", run->entries[entry]);
+  char *body = body_of (run, job);
+
+  sent->run = run;
+  sent->job = job;
+  run->open++;
+  hcl_send (run->client, "POST", url, lv_slice_of (body), ANSWER_TIMEOUT_MS,
+            answered, sent);
+  talloc_free (body);
+}
+
+static void send_due (struct tevent_context *ev, struct tevent_timer *te,
+                      struct timeval at, void *priv);
+
+static void
+schedule (struct run *run)
+{
+  uint64_t due = run->began_ns + run->plan->job[run->next].due_ns;
+  uint64_t now = clk_now ();
+  uint64_t wait_us = due > now ? (due - now) / 1000 : 0;
+
+  tevent_add_timer (run->ev, run->ev,
+                    tevent_timeval_current_ofs (
+                        (uint32_t)(wait_us / 1000000),
+                        (uint32_t)(wait_us % 1000000)),
+                    send_due, run);
+}
+
+static void
+send_due (struct tevent_context *ev, struct tevent_timer *te,
+          struct timeval at, void *priv)
+{
+  struct run *run = priv;
+  struct load_plan *plan = run->plan;
+
+  (void)ev;
+  (void)te;
+  (void)at;
+  while (run->next < plan->jobs
+         && run->began_ns + plan->job[run->next].due_ns <= clk_now ())
+    {
+      send_job (run, &plan->job[run->next], run->next);
+      run->next++;
+    }
+  if (run->next < plan->jobs)
+    schedule (run);
+}
+
+static void
+run_scenario (struct run *run)
+{
+  uint64_t end;
+
+  run->began_ns = clk_now ();
+  end = run->began_ns
+        + (uint64_t)(run->scenario->seconds + DRAIN_S) * CLK_S;
+  if (run->plan->jobs > 0)
+    schedule (run);
+  while ((run->next < run->plan->jobs || run->open > 0) && clk_now () < end)
+    tevent_loop_once (run->ev);
+}
+
+static int
+load_main (struct arg_str *entries, struct arg_file *file, bool json,
+           bool reference_only, const char *percentiles, int seed)
+{
+  struct load_scenario scenario;
+  struct load_plan plan;
+  struct err_error err;
+  struct run run = { .scenario = &scenario, .plan = &plan };
+
+  if (load_read (&scenario, file->filename[0], &err) != 0)
+    return dmn_fail (&err);
+  if (seed > 0)
+    scenario.seed = (uint32_t)seed;
+  run.ev = tevent_context_init (NULL);
+  load_draw (run.ev, &scenario, &plan);
+  load_reference (&scenario, &plan);
+  if (reference_only)
+    {
+      for (uint32_t i = 0; i < plan.jobs; i++)
+        {
+          plan.job[i].end = LOAD_COMPLETE;
+          plan.job[i].response_ms
+              = plan.job[i].reference_ms + scenario.network_ms;
+        }
+    }
+  else
+    {
+      run.client = hcl_new (run.ev, run.ev, CONNECTIONS);
+      for (int i = 0; i < entries->count; i++)
+        run.entries[run.entry_count++] = entries->sval[i];
+      run_scenario (&run);
+    }
+  load_report (&scenario, &plan, json);
+  if (percentiles != NULL)
+    load_percentiles (&scenario, &plan, percentiles);
+  talloc_free (run.ev);
+  return DMN_OK;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
+  struct arg_lit *version = arg_lit0 (NULL, "version", "print the version");
+  struct arg_lit *json = arg_lit0 ("j", "json", "print JSON, not a table");
+  struct arg_lit *reference = arg_lit0 (
+      NULL, "reference",
+      "send nothing; show one queue in arrival order on the same arrivals");
+  struct arg_str *entries = arg_strn ("e", "entry", "URL", 0, LOAD_ENTRIES_MAX,
+                                      "entries, http://IP:PORT, in turn");
+  struct arg_int *seed
+      = arg_int0 ("s", "seed", "N", "seed, instead of the scenario's");
+  struct arg_file *percentiles = arg_file0 (
+      "p", "percentiles", "FILE", "write ratio by percentile, for a plot");
+  struct arg_file *file
+      = arg_file1 (NULL, NULL, "SCENARIO", "scenario file, JSON");
+  struct arg_end *end = arg_end (8);
+  void *table[] = { help, version, json,        reference, entries,
+                    seed, file,    percentiles, end };
+  int errors = arg_parse (argc, argv, table);
+  int rc;
+
+  signal (SIGPIPE, SIG_IGN);
+  if (help->count > 0)
+    {
+      printf ("Usage: lagoonvale-load");
+      arg_print_syntax (stdout, table, "\n");
+      arg_print_glossary (stdout, table, "  %-24s %s\n");
+      puts ("Exit codes: 0 ran, 1 failed, 2 wrong arguments or scenario");
+      rc = DMN_OK;
+    }
+  else if (version->count > 0)
+    {
+      printf ("lagoonvale-load %s\n", LV_VERSION);
+      rc = DMN_OK;
+    }
+  else if (errors > 0 || (entries->count == 0 && reference->count == 0))
+    {
+      arg_print_errors (stderr, end, "lagoonvale-load");
+      if (errors == 0)
+        fputs ("lagoonvale-load: --entry or --reference is missing\n", stderr);
+      rc = DMN_USAGE;
+    }
+  else
+    rc = load_main (entries, file, json->count > 0, reference->count > 0,
+                    percentiles->count > 0 ? percentiles->filename[0] : NULL,
+                    seed->count > 0 ? seed->ival[0] : 0);
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return rc;
+}
