Rules: a comment's reason is looked for within its line; fuzz entry

Cause: the fuzz entry read past a rule file that does not end in NUL: strspn ran on behind the slice. Before: heap-buffer-overflow in read_comment within 10 s of fuzzing. After: a unit case on a slice that ends inside the blanks; the fuzz run is repeated at the landing. Conclusion: slices must not meet the string functions.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 UNIT_OBJ = $(UNIT_SRC:%.cc=$(B)/%.o)
 
 .PHONY: all deps check-deps demo demo-up demo-down check unit lint \
-  format format-check sanitize bench install clean
+  format format-check sanitize fuzz mutants bench install clean
 
 all: $(PROGRAMS) $(B)/example-queue $(B)/slopes
 
@@ -134,3 +134,19 @@
 	  $(DESTDIR)$(PREFIX)/include/lagoonvale
 	sed 's|@PREFIX@|$(PREFIX)|' lagoonvale.pc.in \
 	  > $(DESTDIR)$(PREFIX)/lib/pkgconfig/lagoonvale.pc
+
+# Bounded run of the fuzz entry; needs clang.
+FUZZ_SECONDS ?= 30
+fuzz: check-deps
+	@$(MAKE) -s -j4 B=build-fuzz CC=clang CFLAGS="-O1 -g" \
+	  SAN="-fsanitize=address,undefined,fuzzer-no-link" \
+	  build-fuzz/liblagoonvale.a build-fuzz/tests/fuzz/fuzz.o
+	clang -fsanitize=address,undefined,fuzzer -o build-fuzz/fuzz \
+	  build-fuzz/tests/fuzz/fuzz.o build-fuzz/liblagoonvale.a $(LIBS)
+	@mkdir -p build-fuzz/corpus && cp examples/rules-*.txt build-fuzz/corpus
+	ASAN_OPTIONS=detect_leaks=0 build-fuzz/fuzz -max_len=4096 \
+	  -max_total_time=$(FUZZ_SECONDS) -print_final_stats=1 build-fuzz/corpus
+
+# Each mechanism taken out in turn; the test of its promise must fail.
+mutants: all $(B)/unit $(B)/model
+	python3 tests/mutants.py
--- a/src/roster.c
+++ b/src/roster.c
@@ -34,10 +34,7 @@
   struct ros_member *m;
   struct ros_member *next;
 
-  LL_FOREACH_SAFE (r->members, m, next)
-  {
-    forget (r, m);
-  }
+  LL_FOREACH_SAFE (r->members, m, next) { forget (r, m); }
 }
 
 struct ros_member *
--- a/src/rules.c
+++ b/src/rules.c
@@ -170,6 +170,14 @@
   return true;
 }
 
+static bool
+is_only_blanks (const char *from, const char *to)
+{
+  while (from < to && (*from == ' ' || *from == '\t'))
+    from++;
+  return from == to;
+}
+
 static bool
 read_comment (struct cursor *c, struct rul_rule *rule)
 {
@@ -186,9 +194,8 @@
   rest.data = c->line.data + c->at;
   rest.len = c->line.len - c->at;
   colon = memchr (rest.data, ':', rest.len);
-  if (colon == NULL || colon == rest.data || colon + 1 >= rest.data + rest.len
-      || strspn (colon + 1, " \t")
-             >= (size_t)(rest.data + rest.len - colon - 1))
+  if (colon == NULL || colon == rest.data
+      || is_only_blanks (colon + 1, rest.data + rest.len))
     return complain (c, c->at, rest,
                      "who asked, a colon, and why: # WHO: WHY");
   snprintf (rule->who, sizeof rule->who, "%.*s", (int)rest.len, rest.data);
--- /dev/null
+++ b/tests/mutants.py
@@ -0,0 +1,116 @@
+#!/usr/bin/env python3
+"""Takes one mechanism out at a time, in a scratch copy, and checks that the test
+of its promise fails: a check that can't fail proves nothing.
+
+mutants.py [NAME ...]   last line: "N passed, N failed" (failed: a mutant lived)
+"""
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+
+# name, file, what stands there, what the mutant has, test that must fail
+MUTANTS = [
+    ("owner-finds-no-record", "src/entry_intake.c",
+     "  if (rec != NULL)\n    attach (e, r, rec);\n  else if (too_old",
+     "  if (rec != NULL && rec->phase == ENT_ENDED)\n"
+     "    attach (e, r, rec);\n  else if (too_old",
+     "SameSubmission.test_same_id_and_same_key"),
+    ("fence-not-checked", "src/ledger.c",
+     "  if (ballot != sub->holder.ballot)\n    return -EACCES;", "",
+     "OwnerLost.test_owner_paused_and_resumed"),
+    ("start-not-write-once", "src/ledger.c",
+     "      return task->state == LED_TOMBSTONE ? -ECANCELED : -EALREADY;",
+     "      return 0;",
+     "unit"),
+    ("key-not-write-once", "src/keybind.c",
+     "  if (!sid_equal (&b->sid, sid))\n    return -EEXIST;", "",
+     "SameSubmission.test_many_keys"),
+    ("young-home-trusted", "src/keybind.c",
+     "  return b->proven_ms <= earliest_ms ? 0 : -EAGAIN;",
+     "  return 0;",
+     "HomeLost.test_cold_start"),
+    ("resolve-means-not-started", "src/entry_dispatch.c",
+     "  if (err != 0 || !WIR_DECODE (lvp_outcome, res, &out))\n    {\n"
+     "      cut (call);\n      return;\n    }",
+     "  if (err != 0 || !WIR_DECODE (lvp_outcome, res, &out))\n    {\n"
+     "      memset (&out, 0, sizeof out);\n"
+     "      out.status = LVP_NOT_STARTED;\n"
+     "      hear (call, &out);\n      retire_call (call);\n"
+     "      return;\n    }",
+     "LostMessages.test_connections_reset"),
+    ("minion-connection-reused", "src/agent_target.c",
+     'hcl_send (a->client, "ONCE"', 'hcl_send (a->client, "POST"',
+     "LostMessages.test_minion_connection_reset"),
+    ("doubt-ignored", "src/entry_intake.c",
+     "  return sid->minted_ms <= e->doubt_ms;", "  return false;",
+     "OwnerLost.test_refusals"),
+    ("silence-ignored", "src/entry_link.c",
+     "> e->set.silent_ms * CLK_MS)", "> 600 * CLK_S)",
+     "SilentConnections.test_all_of_one"),
+    ("leaver-takes-work", "src/agent.c",
+     "  a->leaving = true;\n", "  a->leaving = false;\n",
+     "Leaving.test_minion_that_says"),
+    ("exit-before-the-answer", "src/entry.c",
+     "atomic_load (&e->http_open) == 0", "true",
+     "Leaving.test_entry_told_to_leave"),
+    ("any-base-accepted", "src/ruleversion.c",
+     "  if (base != s->version)\n    return RVS_LOST;", "",
+     "Rules.test_five_operators"),
+    ("state-not-repeated", "src/entry_log.c",
+     "  lgt_append (e->rules_tail, record, NULL, NULL);", "",
+     "Rules.test_retention"),
+    ("partial-answers", "src/submission.c",
+     "  if (s->done == s->count)\n", "  if (s->done + 1 >= s->count)\n",
+     "Wholeness.test_failed_tasks"),
+]
+
+
+def mutate(copy, name, path, old, new):
+    full = os.path.join(copy, path)
+    with open(full) as f:
+        text = f.read()
+    assert text.count(old) == 1, "%s: the code has moved" % name
+    with open(full, "w") as f:
+        f.write(text.replace(old, new))
+
+
+def run(name, path, old, new, test):
+    with tempfile.TemporaryDirectory(prefix="mutant-") as copy:
+        shutil.copytree(ROOT, copy, dirs_exist_ok=True,
+                        ignore=shutil.ignore_patterns("build*", ".git"))
+        shutil.copytree(os.path.join(ROOT, "build"),
+                        os.path.join(copy, "build"))
+        mutate(copy, name, path, old, new)
+        subprocess.run(["make", "-s", "-j4", "all", "build/unit",
+                        "build/model"], cwd=copy, check=True,
+                       capture_output=True)
+        argv = ([os.path.join(copy, "build", "unit"), "--gtest_brief=1"]
+                if test == "unit" else
+                [sys.executable, "tests/run.py", test])
+        done = subprocess.run(argv, cwd=copy, capture_output=True, text=True,
+                              env=dict(os.environ, LV_BUILD=os.path.join(
+                                  copy, "build")))
+        return done.returncode != 0, done.stdout
+
+
+def main():
+    caught = lived = 0
+    for name, path, old, new, test in MUTANTS:
+        if sys.argv[1:] and name not in sys.argv[1:]:
+            continue
+        good, text = run(name, path, old, new, test)
+        caught += good
+        lived += not good
+        print("%s %s by %s" % ("caught" if good else "LIVED ", name, test),
+              flush=True)
+        if not good:
+            print(text[-1500:])
+    print("%d passed, %d failed" % (caught, lived))
+    return 1 if lived else 0
+
+
+sys.exit(main())
--- a/tests/unit/members_rules_test.cc
+++ b/tests/unit/members_rules_test.cc
@@ -206,6 +206,10 @@
   EXPECT_STREQ (rul_find (set, RUL_LIMIT, RUL_KIND, lv_slice_of ("k"))->who, "B: c");
   talloc_free (set);
 
+  /* Found by the fuzz entry: the text need not end in NUL.  */
+  const char blanks[] = "weight team a 3 # A:    why";
+  EXPECT_EQ (rul_parse (nullptr, { blanks, 23 }, f, 4, &n), nullptr);
+
   std::string nul ("weight team a 3 # A: b\0", 23);
   EXPECT_EQ (rul_parse (nullptr, { nul.data (), nul.size () }, f, 4, &n), nullptr);
   std::string many;
--- a/tools/slopes.c
+++ b/tools/slopes.c
@@ -69,8 +69,8 @@
       void *mem_ctx = talloc_new (NULL);
       struct que_queue q;
       unsigned count = sizes[s] * 20;
-      struct que_item *items = talloc_zero_array (mem_ctx, struct que_item,
-                                                  count);
+      struct que_item *items
+          = talloc_zero_array (mem_ctx, struct que_item, count);
       char team[TEXT_MAX];
       uint64_t began;
 
@@ -132,8 +132,10 @@
 static char *
 join_record (void *mem_ctx, unsigned i)
 {
-  struct ros_member m = { .role = ROS_AGENT, .addr = 0x0a000000U + i,
-                          .port = 7000, .incarnation = i * 2654435761U + 1,
+  struct ros_member m = { .role = ROS_AGENT,
+                          .addr = 0x0a000000U + i,
+                          .port = 7000,
+                          .incarnation = i * 2654435761U + 1,
                           .slots = 40 };
 
   snprintf (m.name, sizeof m.name, "agent%u", i);
