Shares by occupied slots, not by virtual time; entitled work gets the next slot

Way taken: teams share by the slots that they occupy now, max-min beyond the shares; urgencies and kinds have parts within the team in the same way. No charge has to be corrected after a wrong declared time.

--- a/include/lagoonvale/grant.h
+++ b/include/lagoonvale/grant.h
@@ -4,8 +4,9 @@
  * How an agent divides its slots among entries.  A credit is the right to
  * start one task; the sum of credits and running tasks never exceeds the slots
  * plus the tasks that may be held ahead of a slot.  Idle credits are spread
- * evenly; under demand, a freed slot goes to the entry with the most urgent
- * work and then to the one that uses the fewest slots (max-min).  Pure.
+ * evenly; under demand, a freed slot goes to an entry where work of a team
+ * within its share waits, then to the one that uses the fewest slots
+ * (max-min), then to the one with the most urgent work.  Pure.
  */
 #ifndef LV_GRANT_H
 #define LV_GRANT_H
@@ -22,6 +23,7 @@
  * @credits: granted, not spent
  * @running: started and not ended
  * @queued: tasks that the entry reports as waiting
+ * @entitled: of these, tasks of teams that are within their share
  * @urgency: of its most urgent waiting task, 0 is most urgent
  * @recalled: credits asked back, not yet returned
  * @change: credits to tell the entry about (negative: asked back)
@@ -32,6 +34,7 @@
   uint32_t credits;
   uint32_t running;
   uint32_t queued;
+  uint32_t entitled;
   uint32_t urgency;
   uint32_t recalled;
   int32_t change;
@@ -60,7 +63,7 @@
 
 /** grt_demand() - an entry reports what waits there. */
 void grt_demand (struct grt_grants *g, unsigned place, uint32_t queued,
-                 uint32_t urgency);
+                 uint32_t entitled, uint32_t urgency);
 
 /** grt_spend() - a start came in. Return: whether a credit covered it. */
 bool grt_spend (struct grt_grants *g, unsigned place);
--- a/include/lagoonvale/queue.h
+++ b/include/lagoonvale/queue.h
@@ -2,10 +2,13 @@
  * DOC: queue
  *
  * The queue of an entry.  Tasks wait in flows, one per (team, urgency, kind).
- * Flows share the slots by weighted virtual time; among flows that are within
- * their share the most urgent goes first, so that no flood, however urgent,
- * takes more than its share from the rest.  Within a flow, tasks are ordered
- * by an order policy (arrival, shortest, or response ratio).  Pure.
+ * Teams share the slots by weight, counted in slots that their tasks occupy
+ * now; a team below its share goes first, and of such teams the most urgent
+ * work.  Beyond the shares, the team that occupies least for its weight goes
+ * first.  Within a team, urgencies and kinds have parts in the same way, so
+ * that no flood, however urgent, takes more than its share from the rest.
+ * Within a flow, tasks are ordered by an order policy (arrival, shortest, or
+ * response ratio).  Pure.
  *
  * A job's tasks get arrival stamps that spread with their position in the job,
  * so that one large job does not block later small ones of its team.
@@ -33,6 +36,7 @@
 
 struct que_flow;
 struct que_queue;
+struct que_team;
 
 /**
  * struct que_item - a waiting task; embed it, zeroed
@@ -71,8 +75,9 @@
  * @order: order within a flow
  * @count: tasks that wait
  * @work_ns: sum of their estimates
- * @virtual_ns: virtual time of the system
- * @weight_of: configured weight of a (team, urgency); NULL for 1 each
+ * @slots: slots that this queue can count on; the caller keeps it current
+ * @weights: sum of the weights of teams that wait or run
+ * @weight_of: configured weight of a team; NULL for 1 each
  * @weight_priv: passed to @weight_of
  */
 struct que_queue
@@ -80,12 +85,14 @@
   void *mem_ctx;
   const struct que_order *order;
   struct que_flow *flows;
+  struct que_team *teams;
   struct que_flow *backlogged;
   size_t count;
   uint64_t work_ns;
-  double virtual_ns;
+  double slots;
+  double weights;
   size_t urgency_count[QUE_URGENCIES];
-  double (*weight_of) (void *priv, struct lv_slice team, enum que_urgency u);
+  double (*weight_of) (void *priv, struct lv_slice team);
   void *weight_priv;
 };
 
@@ -118,27 +125,26 @@
                                             struct lv_slice kind),
                            void *priv);
 
-/** que_take() - remove a peeked task and charge its flow for the estimate. */
+/** que_reweigh() - the configured weights have changed. */
+void que_reweigh (struct que_queue *q);
+
+/** que_take() - remove a peeked task; it counts as running from here on. */
 void que_take (struct que_queue *q, struct que_item *item);
 
-/**
- * que_correct() - a task ran for @actual_ns where @estimate_ns was charged
- */
-void que_correct (struct que_queue *q, struct lv_slice team,
-                  enum que_urgency urgency, struct lv_slice kind,
-                  uint64_t estimate_ns, uint64_t actual_ns);
+/** que_done() - a taken task of this flow runs no more, or went nowhere. */
+void que_done (struct que_queue *q, struct lv_slice team,
+               enum que_urgency urgency, struct lv_slice kind);
 
-/**
- * que_wait_ns() - expected wait of a new task of this flow
- * @slots: slots that this queue can count on
- */
+/** que_wait_ns() - expected wait of a new task of this flow. */
 uint64_t que_wait_ns (const struct que_queue *q, struct lv_slice team,
-                      enum que_urgency urgency, struct lv_slice kind,
-                      double slots);
+                      enum que_urgency urgency, struct lv_slice kind);
 
 /** que_team_count() - tasks of @team that wait. */
 size_t que_team_count (const struct que_queue *q, struct lv_slice team);
 
+/** que_entitled() - waiting tasks of teams that are within their share. */
+size_t que_entitled (const struct que_queue *q);
+
 /** que_most_urgent() - urgency of the most urgent waiting task. */
 enum que_urgency que_most_urgent (const struct que_queue *q);
 
--- a/proto/lvproto.x
+++ b/proto/lvproto.x
@@ -43,6 +43,7 @@
 struct lvp_beat
 {
   unsigned int queued;		/* tasks that wait for a credit */
+  unsigned int entitled;	/* of these, of teams within their share */
   unsigned int urgency;		/* of the most urgent one that waits */
   unsigned hyper roster;
   unsigned hyper rules;
--- a/src/agent_session.c
+++ b/src/agent_session.c
@@ -198,7 +198,8 @@
   onc_reply (s->conn, xid, (xdrproc_t)xdr_lvp_beat_res, &res);
   if (s->place < 0)
     return;
-  grt_demand (&a->grants, (unsigned)s->place, call.queued, call.urgency);
+  grt_demand (&a->grants, (unsigned)s->place, call.queued, call.entitled,
+              call.urgency);
   agt_grant (a);
 }
 
--- a/src/entry.c
+++ b/src/entry.c
@@ -156,12 +156,29 @@
   view->ready = (e->rules.known || e->rules.version > 0) && e->members_known;
   view->leaving = e->leaving;
   rcu_assign_pointer (e->view, view);
+  que_reweigh (&e->queue);
   if (old == NULL)
     return;
   synchronize_rcu ();
   talloc_free (old);
 }
 
+/* Slots that this entry can count on: its part of the fleet.  */
+static void
+update_slots (struct ent_entry *e)
+{
+  const struct ent_link *link;
+  double slots = 0;
+
+  DL_FOREACH (e->links, link)
+  {
+    if (ent_link_ready (link) && !link->leaving
+        && link->health.state == HLT_FIT)
+      slots += link->slots;
+  }
+  e->queue.slots = slots > 0 ? slots / ent_entries (e) : 1;
+}
+
 static void
 update_gauges (struct ent_entry *e)
 {
@@ -223,6 +240,7 @@
   ent_record_tick (e, now);
   ent_record_expire (e, now);
   ros_expire (&e->roster, clk_wall_ms () - 4 * e->set.window_s * 1000);
+  update_slots (e);
   update_gauges (e);
   ent_pump (e);
   log_flush ();
--- a/src/entry.h
+++ b/src/entry.h
@@ -180,9 +180,9 @@
   struct ent_link *link;
   struct sid_id sid;
   uint32_t index;
-  uint64_t estimate_ns;
   uint64_t since_ns;
   bool cancel;
+  bool found; /* started under another owner: not taken from the queue */
   struct ent_call *prev;
   struct ent_call *next;
 };
@@ -207,6 +207,7 @@
   uint64_t beat_ns;
   uint64_t demand_ns;
   uint32_t demand;
+  uint32_t entitled;
   struct hlt_target health;
   struct ent_call *cut;
   struct ent_link *prev;
@@ -338,7 +339,7 @@
 /** ent_blocked() - whether a limit keeps this team or kind waiting. */
 bool ent_blocked (void *priv, struct lv_slice team, struct lv_slice kind);
 /** ent_weight() - configured weight, for the queue. */
-double ent_weight (void *priv, struct lv_slice team, enum que_urgency u);
+double ent_weight (void *priv, struct lv_slice team);
 
 /* entry_record.c */
 
--- a/src/entry_admit.c
+++ b/src/entry_admit.c
@@ -73,11 +73,10 @@
 }
 
 double
-ent_weight (void *priv, struct lv_slice team, enum que_urgency u)
+ent_weight (void *priv, struct lv_slice team)
 {
   struct ent_entry *e = priv;
 
-  (void)u;
   return rul_value (e->view->rules, RUL_WEIGHT, RUL_TEAM, team, 1);
 }
 
@@ -185,19 +184,6 @@
   return false;
 }
 
-/* Slots that this entry can count on: its part of the fleet.  */
-static double
-slots_in_reach (const struct ent_entry *e)
-{
-  const struct ent_link *link;
-  double slots = 0;
-
-  DL_FOREACH (e->links, link)
-  if (ent_link_ready (link) && !link->leaving && link->health.state == HLT_FIT)
-    slots += link->slots;
-  return slots / ent_entries (e);
-}
-
 uint64_t
 ent_longest_wait_ms (const struct ent_entry *e, const struct req_request *r)
 {
@@ -216,7 +202,7 @@
 expected_wait_ms (const struct ent_entry *e, const struct req_request *r)
 {
   return que_wait_ns (&e->queue, lv_slice_of (r->team), r->urgency,
-                      lv_slice_of (r->tasks[0].kind), slots_in_reach (e))
+                      lv_slice_of (r->tasks[0].kind))
          / CLK_MS;
 }
 
--- a/src/entry_dispatch.c
+++ b/src/entry_dispatch.c
@@ -40,8 +40,6 @@
   if (out->status != LVP_OK && out->status != LVP_TASK_FAILED)
     return;
   est_observe (&e->estimates, kind, out->run_ns, succeeded);
-  que_correct (&e->queue, team_of (rec), rec->body->urgency, kind,
-               call->estimate_ns, out->run_ns);
   if (!hlt_observe (&e->fleet, &call->link->health, succeeded,
                     est_failure_rate (&e->estimates, kind), clk_now ()))
     return;
@@ -53,6 +51,20 @@
             task->spec->kind, call->link->health.blame);
 }
 
+/* A task that was sent runs, or waits, at its target no more.  */
+static void
+release (const struct ent_call *call, const struct ent_record *rec)
+{
+  struct ent_entry *e = rec->entry;
+  struct lv_slice kind = lv_slice_of (rec->tasks[call->index].spec->kind);
+
+  if (call->cancel)
+    return;
+  ent_usage_add (e, team_of (rec), kind, -1);
+  if (!call->found)
+    que_done (&e->queue, team_of (rec), rec->body->urgency, kind);
+}
+
 static enum sub_outcome
 outcome_of (lvp_status status)
 {
@@ -119,8 +131,7 @@
       task->output_len = out->output.lvp_bytes_len;
     }
   rec->progress_ns = clk_now ();
-  if (!call->cancel)
-    ent_usage_add (e, team_of (rec), lv_slice_of (task->spec->kind), -1);
+  release (call, rec);
   learn (call, rec, task, out);
   step = sub_hear (&rec->core, call->index, link->member->incarnation,
                    outcome_of (out->status));
@@ -209,9 +220,7 @@
   ctr_add (&e->counters, ENT_GAVE_UP, 1);
   if (rec != NULL && rec->tasks != NULL)
     {
-      if (!call->cancel)
-        ent_usage_add (e, team_of (rec),
-                       lv_slice_of (rec->tasks[call->index].spec->kind), -1);
+      release (call, rec);
       sub_give_up (&rec->core, call->index);
       if (rec->phase == ENT_OPEN)
         ent_record_fail (rec, "outcome_lost", why, peer);
@@ -242,6 +251,7 @@
   if (i >= rec->core.count || link == NULL)
     return;
   call = new_call (link, &rec->tasks[i]);
+  call->found = true;
   ent_usage_add (rec->entry, team_of (rec),
                  lv_slice_of (rec->tasks[i].spec->kind), 1);
   sub_found (&rec->core, i, incarnation);
@@ -289,7 +299,6 @@
   msg.credited = e->policy->credited;
   msg.kind = task->spec->kind;
   msg.payload = wir_bytes (payload);
-  call->estimate_ns = task->item.estimate_ns;
   if (msg.credited)
     link->credits--;
   sub_sent (&rec->core, task->index, link->member->incarnation);
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -13,6 +13,8 @@
 
 #define IDLE_TIMEOUT_S 120U
 #define CONNECTION_LIMIT 16384U
+/* Bytes that each connection may use in libmicrohttpd: headers only.  */
+#define CONNECTION_BYTES ((size_t)8192)
 #define MINT_MAX 1000U
 #define READ_STEP 4096U
 
@@ -351,6 +353,7 @@
       handle, e, MHD_OPTION_LISTEN_SOCKET, e->http_fd,
       MHD_OPTION_THREAD_POOL_SIZE, (unsigned)e->set.http_threads,
       MHD_OPTION_CONNECTION_LIMIT, CONNECTION_LIMIT,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_BYTES,
       MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
       MHD_OPTION_NOTIFY_COMPLETED, completed, NULL, MHD_OPTION_END);
   return e->http != NULL ? 0 : -EIO;
--- a/src/entry_link.c
+++ b/src/entry_link.c
@@ -237,11 +237,13 @@
   lvp_beat beat;
 
   beat.queued = queued;
+  beat.entitled = (u_int)que_entitled (&e->queue);
   beat.urgency = que_most_urgent (&e->queue);
   beat.roster = e->roster.offset;
   beat.rules = e->rules.version;
   link->beat_ns = now_ns;
   link->demand = queued;
+  link->entitled = beat.entitled;
   onc_call (link->conn, LVP_BEAT, (xdrproc_t)xdr_lvp_beat, &beat, on_beat,
             link);
 }
@@ -312,14 +314,16 @@
 void
 ent_link_demand (struct ent_entry *e, uint32_t queued, uint64_t now_ns)
 {
+  uint32_t entitled = queued > 0 ? (uint32_t)que_entitled (&e->queue) : 0;
   struct ent_link *link;
 
   if (!e->policy->credited)
     return;
   DL_FOREACH (e->links, link)
   {
-    bool grown
-        = queued > link->demand * 2 || (queued > 0) != (link->demand > 0);
+    bool grown = queued > link->demand * 2
+                 || (queued > 0) != (link->demand > 0)
+                 || entitled > link->entitled;
     if (!ent_link_ready (link) || link->leaving || !grown
         || clk_since (now_ns, link->demand_ns) < DEMAND_GAP_NS)
       continue;
@@ -327,4 +331,11 @@
     ctr_add (&e->counters, ENT_DEMANDS, 1);
     send_beat (link, queued, now_ns);
   }
+  /* What has been served since is no longer told for: the next one that waits
+     is worth a message again.  */
+  DL_FOREACH (e->links, link)
+  {
+    if (link->entitled > entitled)
+      link->entitled = entitled;
+  }
 }
--- a/src/grant.c
+++ b/src/grant.c
@@ -36,8 +36,9 @@
 
 void
 grt_demand (struct grt_grants *g, unsigned place, uint32_t queued,
-            uint32_t urgency)
+            uint32_t entitled, uint32_t urgency)
 {
+  g->session[place].entitled = entitled < queued ? entitled : queued;
   g->session[place].queued = queued;
   g->session[place].urgency = urgency;
 }
@@ -105,6 +106,8 @@
     return a_waits;
   if (!a_waits)
     return a->credits < b->credits;
+  if ((a->entitled > 0) != (b->entitled > 0))
+    return a->entitled > 0;
   if (a_share != b_share)
     return a_share < b_share;
   return a->urgency < b->urgency;
@@ -179,6 +182,8 @@
         return;
       s->credits++;
       s->change++;
+      if (s->entitled > 0)
+        s->entitled--;
     }
   if (g->open)
     recall (g);
--- a/src/lvproto.h
+++ b/src/lvproto.h
@@ -62,6 +62,7 @@
 
 struct lvp_beat {
 	u_int queued;
+	u_int entitled;
 	u_int urgency;
 	u_quad_t roster;
 	u_quad_t rules;
--- a/src/lvproto_xdr.c
+++ b/src/lvproto_xdr.c
@@ -98,8 +98,53 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->queued))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->entitled))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->urgency))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->queued);
+		IXDR_PUT_U_LONG(buf, objp->entitled);
+		IXDR_PUT_U_LONG(buf, objp->urgency);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->roster))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->rules))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->queued))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->entitled))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->urgency))
+				 return FALSE;
+
+		} else {
+		objp->queued = IXDR_GET_U_LONG(buf);
+		objp->entitled = IXDR_GET_U_LONG(buf);
+		objp->urgency = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->roster))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->rules))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_u_int (xdrs, &objp->queued))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->entitled))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->urgency))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->roster))
--- a/src/queue.c
+++ b/src/queue.c
@@ -11,12 +11,8 @@
 #define PER_OCTAVE 2
 #define NAME_BYTES 64
 #define KEY_BYTES (2 * NAME_BYTES + 2)
-/* Shares of the urgencies within one team's weight.  */
+/* Shares of the urgencies within one team.  */
 static const double urgency_factor[QUE_URGENCIES] = { 8, 4, 1 };
-/* Virtual time that a flow may be ahead and still count as within its share,
-   ns of service per unit of weight.  */
-#define SHARE_SLACK_NS 50e6
-
 struct heap
 {
   struct que_item **items;
@@ -24,16 +20,27 @@
   unsigned cap;
 };
 
+/* A team with work waiting or running.  */
+struct que_team
+{
+  char name[NAME_BYTES];
+  size_t name_len;
+  double weight;
+  size_t count;
+  size_t running;
+  unsigned kinds[QUE_URGENCIES]; /* flows that wait or run, by urgency */
+  UT_hash_handle hh;
+};
+
 struct que_flow
 {
   char key[KEY_BYTES];
   size_t key_len;
-  struct lv_slice team;
+  struct que_team *team;
   struct lv_slice kind;
   enum que_urgency urgency;
-  double weight;
-  double start_ns; /* virtual start tag of the next task */
   size_t count;
+  size_t running;
   uint64_t work_ns;
   struct heap bucket[QUE_BUCKETS];
   struct que_flow *prev;
@@ -83,19 +90,27 @@
   memset (q, 0, sizeof *q);
   q->mem_ctx = mem_ctx;
   q->order = order;
+  q->slots = 1;
 }
 
 void
 que_finish (struct que_queue *q)
 {
   struct que_flow *f;
-  struct que_flow *next;
+  struct que_flow *next_flow;
+  struct que_team *t;
+  struct que_team *next_team;
 
-  HASH_ITER (hh, q->flows, f, next)
+  HASH_ITER (hh, q->flows, f, next_flow)
   {
     HASH_DEL (q->flows, f);
     talloc_free (f);
   }
+  HASH_ITER (hh, q->teams, t, next_team)
+  {
+    HASH_DEL (q->teams, t);
+    talloc_free (t);
+  }
 }
 
 static void
@@ -206,6 +221,33 @@
   return f;
 }
 
+static struct que_team *
+find_team (const struct que_queue *q, struct lv_slice name)
+{
+  size_t len = name.len < NAME_BYTES ? name.len : NAME_BYTES;
+  struct que_team *t;
+
+  HASH_FIND (hh, q->teams, name.data, len, t);
+  return t;
+}
+
+static struct que_team *
+obtain_team (struct que_queue *q, struct lv_slice name)
+{
+  struct que_team *t = find_team (q, name);
+
+  if (t != NULL)
+    return t;
+  t = talloc_zero (q->mem_ctx, struct que_team);
+  if (t == NULL)
+    return NULL;
+  t->name_len = name.len < NAME_BYTES ? name.len : NAME_BYTES;
+  memcpy (t->name, name.data, t->name_len);
+  t->weight = 1;
+  HASH_ADD_KEYPTR (hh, q->teams, t->name, t->name_len, t);
+  return t;
+}
+
 static struct que_flow *
 obtain_flow (struct que_queue *q, struct lv_slice team,
              enum que_urgency urgency, struct lv_slice kind)
@@ -217,41 +259,41 @@
   f = talloc_zero (q->mem_ctx, struct que_flow);
   if (f == NULL)
     return NULL;
+  f->team = obtain_team (q, team);
   f->key_len = flow_key (f->key, team, urgency, kind);
   f->urgency = urgency;
-  f->team.data = f->key + 2;
-  f->team.len = (size_t)f->key[1];
-  f->kind.data = f->team.data + f->team.len;
-  f->kind.len = f->key_len - 2 - f->team.len;
+  f->kind.data = f->key + 2 + f->key[1];
+  f->kind.len = f->key_len - 2 - (size_t)f->key[1];
   HASH_ADD_KEYPTR (hh, q->flows, f->key, f->key_len, f);
   return f;
 }
 
-/* A team's weight for an urgency is split among its waiting kinds, so that a
-   flood of one kind takes from its own share.  */
-static double
-flow_weight (const struct que_queue *q, const struct que_flow *flow)
+static struct lv_slice
+team_name (const struct que_team *t)
 {
-  double weight = urgency_factor[flow->urgency];
-  unsigned kinds = 0;
-  const struct que_flow *f;
+  struct lv_slice name = { t->name, t->name_len };
 
-  if (q->weight_of != NULL)
-    weight *= q->weight_of (q->weight_priv, flow->team, flow->urgency);
-  DL_FOREACH (q->backlogged, f)
-  if (f->urgency == flow->urgency && lv_slice_eq (f->team, flow->team))
-    kinds++;
-  return weight / (kinds > 0 ? kinds : 1);
+  return name;
 }
 
+/* A flow that begins or ends to wait or run changes who shares.  */
 static void
-reweigh_siblings (struct que_queue *q, const struct que_flow *flow)
+note_active (struct que_queue *q, struct que_flow *f, bool was)
 {
-  struct que_flow *f;
+  struct que_team *t = f->team;
+  bool is = f->count + f->running > 0;
 
-  DL_FOREACH (q->backlogged, f)
-  if (f->urgency == flow->urgency && lv_slice_eq (f->team, flow->team))
-    f->weight = flow_weight (q, f);
+  if (is == was)
+    return;
+  if (is && t->count + t->running <= 1)
+    {
+      if (q->weight_of != NULL)
+        t->weight = q->weight_of (q->weight_priv, team_name (t));
+      q->weights += t->weight;
+    }
+  else if (!is && t->count + t->running == 0)
+    q->weights -= t->weight;
+  t->kinds[f->urgency] += is ? 1 : (unsigned)-1;
 }
 
 int
@@ -270,12 +312,10 @@
     return -ENOMEM;
   item->flow = f;
   if (f->count == 0)
-    {
-      DL_APPEND (q->backlogged, f);
-      reweigh_siblings (q, f);
-      f->start_ns = fmax (f->start_ns, q->virtual_ns);
-    }
+    DL_APPEND (q->backlogged, f);
   f->count++;
+  f->team->count++;
+  note_active (q, f, f->count + f->running > 1);
   f->work_ns += estimate_ns;
   q->count++;
   q->work_ns += estimate_ns;
@@ -283,25 +323,32 @@
   return 0;
 }
 
-void
-que_remove (struct que_queue *q, struct que_item *item)
+static void
+unlink_item (struct que_queue *q, struct que_item *item)
 {
   struct que_flow *f = item->flow;
 
-  if (f == NULL)
-    return;
   heap_remove (&f->bucket[item->bucket], item);
   item->flow = NULL;
   f->count--;
+  f->team->count--;
   f->work_ns -= item->estimate_ns;
   q->count--;
   q->work_ns -= item->estimate_ns;
   q->urgency_count[f->urgency]--;
   if (f->count == 0)
-    {
-      DL_DELETE (q->backlogged, f);
-      reweigh_siblings (q, f);
-    }
+    DL_DELETE (q->backlogged, f);
+}
+
+void
+que_remove (struct que_queue *q, struct que_item *item)
+{
+  struct que_flow *f = item->flow;
+
+  if (f == NULL)
+    return;
+  unlink_item (q, item);
+  note_active (q, f, true);
 }
 
 static struct que_item *
@@ -326,20 +373,68 @@
   return best;
 }
 
-/* Whether A goes before B: those within their share first, then by urgency,
-   then by virtual time.  */
+/* How much of its part a flow uses, within its team: running tasks over the
+   weight of its urgency, which the kinds of that urgency split.  */
+static double
+flow_use (const struct que_flow *f)
+{
+  return (double)f->running * f->team->kinds[f->urgency]
+         / urgency_factor[f->urgency];
+}
+
+static double
+team_use (const struct que_team *t)
+{
+  return (double)t->running / t->weight;
+}
+
+static bool
+team_within_share (const struct que_queue *q, const struct que_team *t)
+{
+  return (double)t->running < q->slots * t->weight / q->weights;
+}
+
+/* Whether a flow uses less than its part of what its team runs.  */
+static bool
+flow_within_part (const struct que_flow *f)
+{
+  const struct que_team *t = f->team;
+  double factors = 0;
+
+  for (int u = 0; u < QUE_URGENCIES; u++)
+    factors += t->kinds[u] > 0 ? urgency_factor[u] : 0;
+  return flow_use (f) * factors <= (double)t->running;
+}
+
+static bool
+goes_before_in_team (const struct que_flow *a, const struct que_flow *b)
+{
+  bool a_within = flow_within_part (a);
+  bool b_within = flow_within_part (b);
+
+  if (a_within != b_within)
+    return a_within;
+  if (a_within && a->urgency != b->urgency)
+    return a->urgency < b->urgency;
+  return flow_use (a) < flow_use (b);
+}
+
+/* Whether A goes before B.  Teams within their share first, of these the most
+   urgent work; beyond the shares, the team that uses least for its weight.  */
 static bool
 goes_before (const struct que_queue *q, const struct que_flow *a,
              const struct que_flow *b)
 {
-  bool a_within = a->start_ns <= q->virtual_ns + SHARE_SLACK_NS / a->weight;
-  bool b_within = b->start_ns <= q->virtual_ns + SHARE_SLACK_NS / b->weight;
+  bool a_within = team_within_share (q, a->team);
+  bool b_within = team_within_share (q, b->team);
 
+  if (a->team == b->team)
+    return goes_before_in_team (a, b);
   if (a_within != b_within)
     return a_within;
   if (a_within && a->urgency != b->urgency)
     return a->urgency < b->urgency;
-  return a->start_ns < b->start_ns;
+  return team_use (a->team) < team_use (b->team);
 }
 
 struct que_item *
@@ -353,7 +448,7 @@
 
   DL_FOREACH (q->backlogged, f)
   {
-    if (blocked != NULL && blocked (priv, f->team, f->kind))
+    if (blocked != NULL && blocked (priv, team_name (f->team), f->kind))
       continue;
     if (best == NULL || goes_before (q, f, best))
       best = f;
@@ -361,22 +456,21 @@
   return best != NULL ? best_item (q, best, now_ns) : NULL;
 }
 
-static void
-advance_virtual (struct que_queue *q, uint64_t served_ns)
+void
+que_reweigh (struct que_queue *q)
 {
-  double weights = 0;
-  double least = INFINITY;
-  const struct que_flow *f;
+  struct que_team *t;
+  struct que_team *next;
 
-  DL_FOREACH (q->backlogged, f)
+  q->weights = 0;
+  HASH_ITER (hh, q->teams, t, next)
   {
-    weights += f->weight;
-    least = fmin (least, f->start_ns);
+    if (t->count + t->running == 0)
+      continue;
+    if (q->weight_of != NULL)
+      t->weight = q->weight_of (q->weight_priv, team_name (t));
+    q->weights += t->weight;
   }
-  if (weights > 0)
-    q->virtual_ns += (double)served_ns / weights;
-  if (least < INFINITY)
-    q->virtual_ns = fmax (q->virtual_ns, least);
 }
 
 void
@@ -384,49 +478,64 @@
 {
   struct que_flow *f = item->flow;
 
-  f->start_ns += (double)item->estimate_ns / f->weight;
-  advance_virtual (q, item->estimate_ns);
-  que_remove (q, item);
+  f->running++;
+  f->team->running++;
+  unlink_item (q, item);
 }
 
 void
-que_correct (struct que_queue *q, struct lv_slice team,
-             enum que_urgency urgency, struct lv_slice kind,
-             uint64_t estimate_ns, uint64_t actual_ns)
+que_done (struct que_queue *q, struct lv_slice team, enum que_urgency urgency,
+          struct lv_slice kind)
 {
   struct que_flow *f = find_flow (q, team, urgency, kind);
 
-  if (f == NULL || f->weight <= 0)
+  if (f == NULL || f->running == 0)
     return;
-  f->start_ns += ((double)actual_ns - (double)estimate_ns) / f->weight;
+  f->running--;
+  f->team->running--;
+  note_active (q, f, true);
 }
 
 uint64_t
 que_wait_ns (const struct que_queue *q, struct lv_slice team,
-             enum que_urgency urgency, struct lv_slice kind, double slots)
+             enum que_urgency urgency, struct lv_slice kind)
 {
-  const struct que_flow *mine = find_flow (q, team, urgency, kind);
-  const struct que_flow *f;
-  double weights = 0;
+  const struct que_flow *f = find_flow (q, team, urgency, kind);
+  const struct que_team *t;
+  double factors = 0;
+  double slots;
 
-  if (mine == NULL || mine->count == 0)
+  if (f == NULL || f->count == 0)
     return 0;
-  DL_FOREACH (q->backlogged, f)
-  weights += f->weight;
-  slots *= mine->weight / weights;
-  return (uint64_t)((double)mine->work_ns / fmax (slots, 1e-3));
+  t = f->team;
+  for (int u = 0; u < QUE_URGENCIES; u++)
+    factors += t->kinds[u] > 0 ? urgency_factor[u] : 0;
+  /* What the team runs now, or its share if that is more.  */
+  slots = fmax ((double)t->running, q->slots * t->weight / q->weights);
+  slots *= urgency_factor[urgency] / factors / t->kinds[urgency];
+  return (uint64_t)((double)f->work_ns / fmax (slots, 1e-3));
 }
 
 size_t
 que_team_count (const struct que_queue *q, struct lv_slice team)
+{
+  const struct que_team *t = find_team (q, team);
+
+  return t != NULL ? t->count : 0;
+}
+
+size_t
+que_entitled (const struct que_queue *q)
 {
   const struct que_flow *f;
-  size_t count = 0;
+  size_t entitled = 0;
 
   DL_FOREACH (q->backlogged, f)
-  if (lv_slice_eq (f->team, team))
-    count += f->count;
-  return count;
+  {
+    if (team_within_share (q, f->team))
+      entitled += f->count;
+  }
+  return entitled;
 }
 
 enum que_urgency
--- a/tests/unit/decisions_test.cc
+++ b/tests/unit/decisions_test.cc
@@ -186,7 +186,7 @@
           grt_end (&g, place);
           break;
         case 2:
-          grt_demand (&g, place, (seed >> 50) % 20, (seed >> 45) % 3);
+          grt_demand (&g, place, (seed >> 50) % 20, (seed >> 52) % 9, (seed >> 45) % 3);
           break;
         case 3:
           grt_return (&g, place, (seed >> 50) % 4);
@@ -208,13 +208,15 @@
     const char *name;
     uint32_t running[2];
     uint32_t queued[2];
+    uint32_t entitled[2];
     uint32_t urgency[2];
     int winner;
   };
   const Case cases[] = {
-    { "the one whose work waits", { 3, 4 }, { 0, 5 }, { 0, 0 }, 1 },
-    { "the one with fewer slots", { 5, 2 }, { 9, 9 }, { 0, 2 }, 1 },
-    { "of equals, the more urgent", { 3, 3 }, { 9, 9 }, { 1, 0 }, 1 },
+    { "the one whose work waits", { 3, 4 }, { 0, 5 }, { 0, 0 }, { 0, 0 }, 1 },
+    { "the one with fewer slots", { 5, 2 }, { 9, 9 }, { 0, 0 }, { 0, 2 }, 1 },
+    { "of equals, the more urgent", { 3, 3 }, { 9, 9 }, { 0, 0 }, { 1, 0 }, 1 },
+    { "the one where a team below its share waits", { 2, 5 }, { 9, 9 }, { 0, 1 }, { 0, 2 }, 1 },
   };
   for (const Case &c : cases)
     {
@@ -225,7 +227,7 @@
         {
           grt_join (&g);
           g.session[i].running = c.running[i];
-          grt_demand (&g, i, c.queued[i], c.urgency[i]);
+          grt_demand (&g, i, c.queued[i], c.entitled[i], c.urgency[i]);
         }
       grt_balance (&g);
       EXPECT_EQ (g.session[c.winner].change, 1);
@@ -291,7 +293,9 @@
   for (que_urgency flood : { QUE_URGENT, QUE_NORMAL, QUE_BULK })
     {
       std::vector<Item> items (400);
+      TearDown ();
       SetUp ();
+      q.slots = 88;
       for (int i = 0; i < 300; i++)
         {
           items[i].name = "flood";
@@ -305,11 +309,50 @@
       std::map<std::string, int> served;
       for (int i = 0; i < 90; i++)
         served[pop (1)->name]++;
-      /* Weights 8 : 4 against an urgent flood, the worst case.  */
-      EXPECT_GE (served["light"], 27) << "flood of urgency " << flood;
-      TearDown ();
+      EXPECT_GE (served["light"], 44) << "flood of urgency " << flood;
+    }
+}
+
+/* Of one team's own work, a flood of the most urgent leaves the rest its
+   part, and a flood of one kind leaves the other kinds theirs.  */
+TEST_F (Queue, NoFloodWithinATeamStarvesTheRest)
+{
+  std::vector<Item> items (300);
+  q.slots = 88;
+  for (int i = 0; i < 200; i++)
+    {
+      items[i].name = i < 100 ? "urgent" : "poster";
+      push (&items[i], "t", i < 100 ? QUE_URGENT : QUE_NORMAL,
+            i < 100 ? "k" : "poster", 100);
+    }
+  for (int i = 200; i < 300; i++)
+    {
+      items[i].name = "sheet";
+      push (&items[i], "t", QUE_NORMAL, "sheet", 100);
+    }
+  std::map<std::string, int> served;
+  for (int i = 0; i < 84; i++)
+    served[pop (1)->name]++;
+  EXPECT_NEAR (served["urgent"], 56, 2);
+  EXPECT_NEAR (served["poster"], 14, 2);
+  EXPECT_NEAR (served["sheet"], 14, 2);
+}
+
+TEST_F (Queue, EndedTasksFreeTheShare)
+{
+  std::vector<Item> items (30);
+  q.slots = 10;
+  for (int i = 0; i < 30; i++)
+    {
+      items[i].name = i % 2 ? "a" : "b";
+      push (&items[i], items[i].name.c_str (), QUE_NORMAL, "k", 100, i);
     }
-  SetUp ();
+  for (int i = 0; i < 10; i++)
+    pop (100);
+  for (int i = 0; i < 5; i++)
+    que_done (&q, lv_slice_of ("a"), QUE_NORMAL, lv_slice_of ("k"));
+  for (int i = 0; i < 5; i++)
+    EXPECT_EQ (pop (100)->name, "a");
 }
 
 TEST_F (Queue, AGiantJobLetsLaterSmallOnesThrough)
