Keep a few slots back from teams beyond their share

Way taken: an entry keeps up to 2 credits (1 for 8 slots of its part) that only teams within their share may use, while more than one team is at work. Kept as the setting 'reserve'.

--- a/include/lagoonvale/queue.h
+++ b/include/lagoonvale/queue.h
@@ -145,6 +145,12 @@
 /** que_entitled() - waiting tasks of teams that are within their share. */
 size_t que_entitled (const struct que_queue *q);
 
+/**
+ * que_may_wait() - whether @item's team is beyond its share while other teams
+ * are at work: a few slots may be kept back from it for them
+ */
+bool que_may_wait (const struct que_queue *q, const struct que_item *item);
+
 /** que_most_urgent() - urgency of the most urgent waiting task. */
 enum que_urgency que_most_urgent (const struct que_queue *q);
 
--- a/src/entry.c
+++ b/src/entry.c
@@ -62,6 +62,8 @@
        "tasks that may wait; refused beyond"),
   KEY ("wait_ms", SET_UINT, wait_ms, "10000", 1, 86400000,
        "longest expected wait admitted, ms, unless a rule says else"),
+  KEY ("reserve", SET_UINT, reserve, "2", 0, 1000,
+       "slots kept back from teams beyond their share; 0 for none"),
   KEY ("heartbeat_ms", SET_UINT, heartbeat_ms, "500", 50, 60000,
        "milliseconds between heartbeats"),
   KEY ("silent_ms", SET_UINT, silent_ms, "1500", 100, 60000,
--- a/src/entry.h
+++ b/src/entry.h
@@ -66,6 +66,7 @@
   uint64_t record_bytes;
   uint64_t queue_tasks;
   uint64_t wait_ms;
+  uint64_t reserve;
   uint64_t heartbeat_ms;
   uint64_t silent_ms;
   uint64_t resolve_ms;
--- a/src/entry_dispatch.c
+++ b/src/entry_dispatch.c
@@ -10,6 +10,9 @@
 #include "logline.h"
 #include "wire.h"
 
+/* At most one credit is kept back for so many slots of this entry's part.  */
+#define SLOTS_PER_RESERVE 8
+
 static struct lv_slice
 team_of (const struct ent_record *rec)
 {
@@ -372,6 +375,24 @@
   return chosen >= 0 ? e->target_links[chosen] : NULL;
 }
 
+/* Credits kept for teams within their share, so that their next task finds a
+   slot while a flood has taken the rest.  */
+static bool
+keep_back (const struct ent_entry *e, const struct que_item *item)
+{
+  uint32_t reserve = (uint32_t)(e->queue.slots / SLOTS_PER_RESERVE);
+  const struct ent_link *link;
+  uint32_t credits = 0;
+
+  if (!e->policy->credited || !que_may_wait (&e->queue, item))
+    return false;
+  if (reserve > e->set.reserve)
+    reserve = (uint32_t)e->set.reserve;
+  DL_FOREACH (e->links, link)
+  credits += link->credits;
+  return credits <= reserve;
+}
+
 static void
 run_pump (struct tevent_context *ev, struct tevent_immediate *im, void *priv)
 {
@@ -387,7 +408,7 @@
       struct ent_task *task = (struct ent_task *)(void *)item;
       struct ent_link *link;
 
-      if (item == NULL)
+      if (item == NULL || keep_back (e, item))
         break;
       link = choose (e, task, now);
       if (link == NULL)
--- a/src/queue.c
+++ b/src/queue.c
@@ -538,6 +538,14 @@
   return entitled;
 }
 
+bool
+que_may_wait (const struct que_queue *q, const struct que_item *item)
+{
+  const struct que_team *t = item->flow->team;
+
+  return q->weights > t->weight && !team_within_share (q, t);
+}
+
 enum que_urgency
 que_most_urgent (const struct que_queue *q)
 {
