--- a/tools/bench.py
+++ b/tools/bench.py
@@ -3,6 +3,7 @@
 freeze and a cut.  Prints one line a figure; nothing here is a pass or a fail.
 
 bench.py [throughput] [idle] [light] [recovery] [cancel]
+         [rules]
 """
 import json
 import os
@@ -188,8 +189,28 @@
         assert max(c.starts().values()) == 1
 
 
+def rules():
+    """Time from the log's acceptance of a rule file to in force, by entry."""
+    with Cluster(entries=4, agents=1) as c:
+        for n in range(1, 31):
+            done = c.publish("weight team t %d # Bench: change %d\n" % (n, n))
+            assert done.returncode == 0, done.stdout
+        wait_until(lambda: all(c.status(i)["rules"] == 30 for i in range(4)))
+        time.sleep(0.3)  # logs are written out once a tick
+        lags = []
+        for plan in c.entry_plan:
+            with open(os.path.join(c.dir, plan["name"] + ".log")) as f:
+                lags += [int(m) for m in re.findall(
+                    r"event=rules .* lag_ms=(\d+)", f.read())]
+        lags.sort()
+        figure("rules.seen", len(lags), "of 120")
+        figure("rules.lag.p50", lags[len(lags) // 2], "ms")
+        figure("rules.lag.p99", lags[int(0.99 * (len(lags) - 1))], "ms",
+               "at most 1000")
+
+
 def main():
-    every = {"throughput": throughput, "cancel": cancel, "light": light, "idle": idle,
+    every = {"throughput": throughput, "rules": rules, "cancel": cancel, "light": light, "idle": idle,
              "recovery": recovery}
     for name in sys.argv[1:] or every:
         every[name]()
