A record keeps its tasks while any call about them is under way

Cause: read at the landing: a cancellation asks about a task beside the start's own call; when the answer to the question came first (after a lost connection), the tasks were freed and the start's reply no longer took its task off the running count, so its team's share and limits stayed one task short. Ruled out: double settling (sub_hear ignores the second report). Before: not brought about by a test; found by reading. Conclusion: counts of running tasks can't drift by cancellations.

--- a/src/entry.h
+++ b/src/entry.h
@@ -162,6 +162,7 @@
   const char *fail_code;
   const char *fail_step;
   char fail_peer[ERR_PEER_MAX];
+  uint32_t calls; /* starts and resolves under way, which need the tasks */
   uint64_t began_ns;
   uint64_t progress_ns; /* a task was last sent or ended */
   uint64_t ended_ns;
--- a/src/entry_dispatch.c
+++ b/src/entry_dispatch.c
@@ -107,11 +107,16 @@
 retire_call (struct ent_call *call)
 {
   struct ent_link *link = call->link;
+  struct ent_record *rec = ent_record_find (link->entry, &call->sid);
 
   if (call->since_ns != 0)
     DL_DELETE (link->cut, call);
   link->sent--;
   talloc_free (call);
+  if (rec == NULL)
+    return;
+  rec->calls--;
+  ent_record_check (rec);
 }
 
 static void
@@ -234,7 +239,7 @@
 }
 
 static struct ent_call *
-new_call (struct ent_link *link, const struct ent_task *task)
+new_call (struct ent_link *link, struct ent_task *task)
 {
   struct ent_call *call = talloc_zero (link, struct ent_call);
 
@@ -242,6 +247,7 @@
   memcpy (&call->sid, &task->record->sid, sizeof call->sid);
   call->index = task->index;
   link->sent++;
+  task->record->calls++;
   return call;
 }
 
--- a/src/entry_record.c
+++ b/src/entry_record.c
@@ -197,16 +197,16 @@
   DL_APPEND (e->ended, rec);
   e->open_records--;
   charge (rec, sizeof *rec + answer->len
-                   + (rec->core.in_flight > 0
+                   + (rec->calls > 0
                           ? rec->body->raw_len + rec->core.count * TASK_BYTES
                           : 0));
 }
 
-/* Once nothing is in flight, an ended record needs its tasks no more.  */
+/* Once no call is under way, an ended record needs its tasks no more.  */
 static void
 free_tasks (struct ent_record *rec)
 {
-  if (rec->phase != ENT_ENDED || rec->core.in_flight > 0 || rec->body == NULL)
+  if (rec->phase != ENT_ENDED || rec->calls > 0 || rec->body == NULL)
     return;
   TALLOC_FREE (rec->body);
   rec->tasks = NULL;
@@ -384,7 +384,7 @@
     {
       struct ent_record *rec = e->ended;
       if (clk_since (now_ns, rec->ended_ns) < 2 * e->set.window_s * CLK_S
-          || rec->core.in_flight > 0)
+          || rec->calls > 0)
         return;
       DL_DELETE (e->ended, rec);
       forget (rec);
