A leaving entry asks its records about ids that are brought

Cause: in one of 21 runs under ASan, test_rolling_replacement saw "may have run": 503 leaving, refused at accept. The HTTP thread knows nothing of records, so it could not claim "not run" for an id that the caller had brought, although the entry had never seen it. Ruled out: a cut answer (the trace shows that the request came after SIGTERM and was refused); adoption with departed agents (code would be owner_gone). Way taken: while leaving, submissions with an id or key go to the dispatch thread: what runs there is attached, what was never seen is refused, not run. The test's assertion stays as it is; a deterministic test is added. Conclusion: callers of a leaving entry get a true "not run".

--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -115,16 +115,18 @@
   r->wait = r->wait_ms > 0;
 }
 
-/* Early refusals that need no more than the published view.  */
+/* Early refusals that need no more than the published view.  A submission
+   whose id or key was BROUGHT along may be on record here, also while this
+   entry leaves: the dispatch thread knows.  */
 static bool
-view_refuses (struct ent_entry *e, struct req_refusal *why)
+view_refuses (struct ent_entry *e, bool brought, struct req_refusal *why)
 {
   const struct ent_view *view;
   bool refused = true;
 
   rcu_read_lock ();
   view = rcu_dereference (e->view);
-  if (view->leaving)
+  if (view->leaving && !brought)
     req_refuse (why, 503, "leaving", "accept", true,
                 "this entry is shutting down; ask another");
   else if (!view->ready)
@@ -151,7 +153,8 @@
   if (key != NULL)
     r->key = talloc_strdup (r, key);
   ctr_add (&x->entry->counters, ENT_REQUESTS, 1);
-  if (!req_parse (r, &why) || view_refuses (x->entry, &why))
+  if (!req_parse (r, &why)
+      || view_refuses (x->entry, r->has_sid || r->key != NULL, &why))
     {
       /* An id or key may have run before, whatever this instance knows.  */
       if (r->has_sid || (r->key != NULL && r->count > 0))
@@ -190,7 +193,7 @@
   uint64_t count = argument (x->connection, "count", 1);
   struct req_refusal why;
 
-  if (view_refuses (x->entry, &why))
+  if (view_refuses (x->entry, false, &why))
     return send_refusal (x, &why);
   if (count < 1 || count > MINT_MAX)
     {
@@ -213,7 +216,7 @@
   if (strcmp (url, "/healthz") == 0)
     return send_text (x->connection, 200, "ok\n");
   if (strcmp (url, "/readyz") == 0)
-    return view_refuses (x->entry, &why)
+    return view_refuses (x->entry, false, &why)
                ? send_text (x->connection, 503, "not ready\n")
                : send_text (x->connection, 200, "ready\n");
   text = ctr_text (NULL, &x->entry->counters);
--- a/tests/process/test_wholeness.py
+++ b/tests/process/test_wholeness.py
@@ -155,6 +155,24 @@
             self.assertEqual({x.result() for x in load.callers}, {"complete"})
             self.judge(c, load.callers + mine)
 
+    def test_leaving_entry_knows_the_ids_that_are_brought(self):
+        """It attaches what runs there, and says "not run" of what it never
+        saw."""
+        with cluster(entries=2, agents=2) as c:
+            running, unseen = c.mint(0, 2)
+            body = job(4, 900, id=running)
+            first = Caller(c, 0, body)
+            self.assertTrue(wait_until(lambda: len(c.starts()) == 4))
+            c.entries[0].send(15)
+            self.assertTrue(wait_until(lambda: not c.entries[0].ready()))
+            again = Caller(c, 0, body)
+            other = Caller(c, 0, job(1, 50, id=unseen))
+            fresh = Caller(c, 0, job(1, 50))
+            self.assertEqual([x.result() for x in (first, again, other,
+                                                   fresh)],
+                             ["complete", "complete", "not_run", "not_run"])
+            self.judge(c, [first, again, other, fresh])
+
     def test_rolling_replacement_of_every_process(self):
         """Replacements come up, each old process leaves gracefully; callers
         who meet a leaving entry are told "not run" and go elsewhere."""
