A submission that is not waited for tells its count of tasks; demo-up twice

Cause: found by following docs/PROTOCOLS.md line by line: the 202 answer said "tasks": 0, since it was written before the tasks were counted; a second demo-up forgot the first one's processes. Ruled out: the poll of the same id (it said the right count). Before: tasks 0 in the 202; two clusters, one of them orphaned. After: the count, with a test; demo-up refuses while it is up, demo-down is idempotent.

--- a/src/entry_record.c
+++ b/src/entry_record.c
@@ -49,6 +49,7 @@
                 const struct sid_id *sid)
 {
   struct ent_record *rec = talloc_zero (e->ev, struct ent_record);
+  struct req_request *waiter;
 
   rec->entry = e;
   memcpy (&rec->sid, sid, sizeof *sid);
@@ -56,9 +57,10 @@
   rec->began_ns = clk_now ();
   rec->progress_ns = rec->began_ns;
   rec->phase = ENT_BINDING;
-  ent_record_wait (rec, req_waiter (r));
+  waiter = req_waiter (r);
   rec->body = talloc_steal (rec, r);
   make_tasks (rec);
+  ent_record_wait (rec, waiter);
   charge (rec, sizeof *rec + r->raw_len + r->count * TASK_BYTES);
   HASH_ADD (hh, e->records, sid, sizeof rec->sid, rec);
   DL_APPEND (e->open, rec);
--- a/tests/process/test_wholeness.py
+++ b/tests/process/test_wholeness.py
@@ -54,6 +54,19 @@
             self.assertEqual(len(answer["tasks"]), 10)
             self.judge(c, [gone])
 
+    def test_poll_without_and_with_waiting(self):
+        with cluster() as c:
+            sid = c.mint(0)[0]
+            status, answer = c.submit(0, job(7, 400, id=sid),
+                                      wait="?wait_ms=0")
+            self.assertEqual((status, answer["state"], answer["tasks"],
+                              answer["done"]), (202, "open", 7, 0))
+            url = c.url(1, "/v1/jobs/%s" % sid)
+            status, answer = http("GET", url + "?wait_ms=100")
+            self.assertEqual((status, answer["tasks"]), (202, 7))
+            status, answer = http("GET", url)
+            self.assertEqual((status, len(answer["tasks"])), (200, 7))
+
     def test_equal_indices_and_crossed_replies(self):
         """Many jobs with equal indices whose tasks end in reverse order, on
         few connections."""
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -92,6 +92,9 @@
 
 
 def up():
+    if os.path.exists(STATE):
+        print("demo: already up; run make demo-down first")
+        return 1
     with open(RULES) as f:
         cluster = Cluster(entries=2, agents=3, rules=f.read())
     os.makedirs(os.path.dirname(STATE), exist_ok=True)
@@ -105,6 +108,9 @@
 
 
 def down():
+    if not os.path.exists(STATE):
+        print("demo: not up")
+        return 0
     with open(STATE) as f:
         pids = json.load(f)["pids"]
     for pid in reversed(pids):
