Adoption: an answer to another ballot of ours is void

Cause: found by reading the whole change: fence answers were to be guarded by a round that nothing ever counted up. After yielding and overruling, a late answer to the earlier ballot could count as a fence under the new one, so an adopter could go on with an agent that had not accepted its ballot. Ruled out: mixed answers within one ballot (they come in order on a connection). Way taken: the call carries its ballot, and an answer to another one is void; the dead round and an unused pointer go. Also one cli_post_file for submit and explain, which had written the same steps twice. Before: not brought about by a test.

--- a/cli/cli.h
+++ b/cli/cli.h
@@ -34,6 +34,12 @@
 /** cli_read_file() - whole file as talloc text; complains and returns NULL. */
 char *cli_read_file (struct cli_context *cli, const char *path, size_t *len);
 
+/** cli_post_file() - post a file to @path of an entry, once.
+ * Return: whether the file could be read; then @reply is filled. */
+bool cli_post_file (struct cli_context *cli, const char *entry,
+                    const char *path, const char *file, long timeout_ms,
+                    struct cli_reply *reply);
+
 /** cli_parse() - run argtable over @table; handles --help. Return: -1 to go
  * on, or the exit code. */
 int cli_parse (int argc, char **argv, void **table, int count,
--- a/cli/cli_jobs.c
+++ b/cli/cli_jobs.c
@@ -91,16 +91,11 @@
 
   if (rc < 0)
     {
-      struct lv_slice body;
       struct cli_reply reply;
-      char *url = talloc_asprintf (cli->ev, "%s/v1/jobs", entry->sval[0]);
-      body.data = cli_read_file (cli, file->filename[0], &body.len);
       rc = DMN_USAGE;
-      if (body.data != NULL)
-        {
-          reply = cli_http (cli, "ONCE", url, body, SUBMIT_TIMEOUT_MS);
-          rc = show (&reply);
-        }
+      if (cli_post_file (cli, entry->sval[0], "/v1/jobs", file->filename[0],
+                         SUBMIT_TIMEOUT_MS, &reply))
+        rc = show (&reply);
     }
   arg_freetable (table, 4);
   return rc;
--- a/cli/cli_rules.c
+++ b/cli/cli_rules.c
@@ -322,14 +322,11 @@
 
   if (rc < 0)
     {
-      struct lv_slice body;
       struct cli_reply reply;
-      char *url = talloc_asprintf (cli->ev, "%s/v1/explain", entry->sval[0]);
-      body.data = cli_read_file (cli, file->filename[0], &body.len);
       rc = DMN_USAGE;
-      if (body.data != NULL)
+      if (cli_post_file (cli, entry->sval[0], "/v1/explain", file->filename[0],
+                         TIMEOUT_MS, &reply))
         {
-          reply = cli_http (cli, "ONCE", url, body, TIMEOUT_MS);
           rc = reply.err == 0 && reply.status == 200 ? DMN_OK : DMN_FAILED;
           puts (reply.body);
         }
--- a/cli/main.c
+++ b/cli/main.c
@@ -69,6 +69,20 @@
   return text;
 }
 
+bool
+cli_post_file (struct cli_context *cli, const char *entry, const char *path,
+               const char *file, long timeout_ms, struct cli_reply *reply)
+{
+  char *url = talloc_asprintf (cli->ev, "%s%s", entry, path);
+  struct lv_slice body;
+
+  body.data = cli_read_file (cli, file, &body.len);
+  if (body.data == NULL)
+    return false;
+  *reply = cli_http (cli, "ONCE", url, body, timeout_ms);
+  return true;
+}
+
 int
 cli_parse (int argc, char **argv, void **table, int count, const char *command)
 {
--- a/src/entry_adopt.c
+++ b/src/entry_adopt.c
@@ -28,16 +28,14 @@
   struct adp_adoption core;
   struct report *reports;
   uint64_t deadline_ns;
-  unsigned round; /* answers of an earlier round are void */
 };
 
 struct fence_call
 {
-  struct ent_adoption *adoption;
   struct ent_entry *entry;
   struct sid_id sid;
+  uint64_t ballot; /* an answer to another ballot of ours is void */
   uint32_t agent;
-  unsigned round;
 };
 
 static void send_fences (struct ent_adoption *a);
@@ -158,12 +156,12 @@
   struct ent_record *rec = ent_record_find (call->entry, &call->sid);
   struct ent_adoption *a = rec != NULL ? rec->adoption : NULL;
   uint32_t i = call->agent;
-  unsigned round = call->round;
+  uint64_t ballot = call->ballot;
   lvp_fence_res fence;
 
   (void)conn;
   talloc_free (call);
-  if (a == NULL || a->round != round)
+  if (a == NULL || a->core.self.ballot != ballot)
     return;
   /* A lost connection leaves the agent pending: the tick asks again.  */
   if (err != 0 || !WIR_DECODE (lvp_fence_res, res, &fence))
@@ -191,11 +189,10 @@
   struct fence_call *call = talloc_zero (e->ev, struct fence_call);
   lvp_fence msg;
 
-  call->adoption = a;
   call->entry = e;
   call->sid = a->rec->sid;
   call->agent = i;
-  call->round = a->round;
+  call->ballot = a->core.self.ballot;
   memset (&msg, 0, sizeof msg);
   msg.sid = wir_sid (&a->rec->sid);
   msg.ballot = a->core.self.ballot;
