Rules: only the version at the stream's end comes into force

An entry that starts replays what the log still holds and put each old version in force on its way; it counted as ready at the first bytes of the answer, before any record was read. The test passed only where repeated states had pushed the old publishes past retention, which jitter decides. Ruled out: a wrong judge of records (each version was judged rightly); the test (with more records than one read brings, the entry took a job that the rule in force refused: seen in the new test). Way taken: what was read (rules) and what is in force (force_version, force_text) are two things; the version comes into force at the stream's end or from a peer, and only then is the entry ready, repeats states or serves peers. Conclusion: a start is ready later by the reading of the stream, and never goes through history.

--- a/src/entry.c
+++ b/src/entry.c
@@ -140,11 +140,11 @@
   uint32_t count;
   struct rul_set *set;
 
-  if (e->rules.text == NULL)
+  if (e->force_text == NULL)
     return talloc_zero (mem_ctx, struct rul_set);
-  set = rul_parse (mem_ctx, lv_slice_of (e->rules.text), &finding, 1, &count);
+  set = rul_parse (mem_ctx, lv_slice_of (e->force_text), &finding, 1, &count);
   if (set != NULL)
-    set->version = e->rules.version;
+    set->version = e->force_version;
   return set;
 }
 
@@ -155,7 +155,7 @@
   struct ent_view *view = talloc_zero (NULL, struct ent_view);
 
   view->rules = parse_rules (e, view);
-  view->ready = (e->rules.known || e->rules.version > 0) && e->members_known;
+  view->ready = e->rules_ready && e->members_known;
   view->leaving = e->leaving;
   rcu_assign_pointer (e->view, view);
   que_reweigh (&e->queue);
--- a/src/entry.h
+++ b/src/entry.h
@@ -246,11 +246,14 @@
   _Atomic uint64_t http_open; /* requests whose answer is not out yet */
 
   struct ros_roster roster;
-  struct rvs_state rules;
+  struct rvs_state rules; /* as far as the stream was read */
+  uint64_t force_version; /* rules in force here, 0 for none */
+  char *force_text;       /* talloc, NULL for none */
   struct lgt_tail *members;
   struct lgt_tail *rules_tail;
   struct hcl_client *client;
   bool members_known;
+  bool rules_ready; /* the version in force was known at least once */
   bool announced;
   uint64_t joined;
   uint64_t doubt_ms; /* wall time until which others may have adopted */
@@ -452,8 +455,8 @@
 void ent_log_leave (struct ent_entry *e);
 /** ent_log_gone() - append the end of an agent that can't be reached. */
 void ent_log_gone (struct ent_entry *e, const struct ros_member *m);
-/** ent_log_rules_changed() - parse and publish the rules in force. */
-void ent_log_rules_changed (struct ent_entry *e, const char *source);
+/** ent_log_rules_judged() - the version reached is the one in force now. */
+void ent_log_rules_judged (struct ent_entry *e, const char *source);
 /** ent_log_members_from() - take the members that a peer knows. */
 void ent_log_members_from (struct ent_entry *e, uint64_t offset,
                            struct lv_slice dump);
--- a/src/entry_admit.c
+++ b/src/entry_admit.c
@@ -275,7 +275,7 @@
                 req_urgency_name (r->urgency));
     }
   jsx_add (json, "rules_version",
-           json_object_new_int64 ((int64_t)e->rules.version));
+           json_object_new_int64 ((int64_t)e->force_version));
   jsx_add (json, "rules", list);
   jsx_add (json, "admitted", json_object_new_boolean (admitted));
   if (!admitted)
--- a/src/entry_guest.c
+++ b/src/entry_guest.c
@@ -98,7 +98,7 @@
   char *dump;
 
   memset (&res, 0, sizeof res);
-  if (e->rules.known && e->rules.version > 0)
+  if (e->rules_ready && e->rules.known && e->rules.version > 0)
     {
       res.rules_version = e->rules.version;
       res.rules_offset = e->rules.offset;
--- a/src/entry_intake.c
+++ b/src/entry_intake.c
@@ -215,12 +215,12 @@
   struct json_object *json = json_object_new_object ();
 
   jsx_add (json, "instance", json_object_new_string (e->set.name));
-  jsx_add (json, "version", json_object_new_int64 ((int64_t)e->rules.version));
+  jsx_add (json, "version", json_object_new_int64 ((int64_t)e->force_version));
   jsx_add (json, "offset", json_object_new_int64 ((int64_t)e->rules.offset));
   jsx_add (json, "known", json_object_new_boolean (e->rules.known));
   jsx_add (
       json, "text",
-      json_object_new_string (e->rules.text != NULL ? e->rules.text : ""));
+      json_object_new_string (e->force_text != NULL ? e->force_text : ""));
   answer_json (r, json);
 }
 
@@ -261,7 +261,7 @@
     json_object_array_add (entries, json_object_new_string (address));
   }
   jsx_add (json, "name", json_object_new_string (e->set.name));
-  jsx_add (json, "rules", json_object_new_int64 ((int64_t)e->rules.version));
+  jsx_add (json, "rules", json_object_new_int64 ((int64_t)e->force_version));
   jsx_add (json, "roster", json_object_new_int64 ((int64_t)e->roster.offset));
   jsx_add (json, "log_reachable",
            json_object_new_boolean (lgt_reachable (e->members)));
--- a/src/entry_link.c
+++ b/src/entry_link.c
@@ -251,7 +251,7 @@
   beat.entitled = (u_int)que_entitled (&e->queue);
   beat.urgency = que_most_urgent (&e->queue);
   beat.roster = e->roster.offset;
-  beat.rules = e->rules.version;
+  beat.rules = e->force_version;
   link->beat_ns = now_ns;
   link->demand = queued;
   link->entitled = beat.entitled;
--- a/src/entry_log.c
+++ b/src/entry_log.c
@@ -124,11 +124,12 @@
   ent_publish_view (e);
 }
 
-void
-ent_log_rules_changed (struct ent_entry *e, const char *source)
+static void
+put_in_force (struct ent_entry *e, const char *source)
 {
-  uint64_t now = clk_now ();
-
+  TALLOC_FREE (e->force_text);
+  e->force_text = talloc_strdup (e->ev, e->rules.text);
+  e->force_version = e->rules.version;
   log_line (LOGL_INFO, "rules",
             "version=%" PRIu64 " offset=%" PRIu64 " source=%s lag_ms=%" PRId64,
             e->rules.version, e->rules.offset, source,
@@ -136,7 +137,19 @@
                 ? (int64_t)(clk_wall_ms () - e->rules.accepted_ms)
                 : -1);
   ctr_set_gauge (&e->counters, ENT_RULES_VERSION, e->rules.version);
-  e->next_state_ns = now + STATE_MIN_NS + jitter (CLK_S);
+  e->next_state_ns = clk_now () + STATE_MIN_NS + jitter (CLK_S);
+}
+
+void
+ent_log_rules_judged (struct ent_entry *e, const char *source)
+{
+  bool changed = e->rules.version != e->force_version;
+
+  if (e->rules_ready && !changed)
+    return;
+  e->rules_ready = true;
+  if (changed)
+    put_in_force (e, source);
   ent_publish_view (e);
 }
 
@@ -144,11 +157,8 @@
 rules_begin (uint64_t first, void *priv)
 {
   struct ent_entry *e = priv;
-  bool knew = e->rules.known;
 
   rvs_begin (&e->rules, first);
-  if (knew != e->rules.known)
-    ent_publish_view (e);
 }
 
 static void
@@ -158,7 +168,6 @@
   static const char *const fates[]
       = { "accepted", "lost", "held", "nothing", "foreign" };
   struct ent_entry *e = priv;
-  uint64_t before = e->rules.version;
   enum rvs_fate fate = rvs_apply (&e->rules, offset, log_ms, data);
 
   if (fate == RVS_FOREIGN || fate == RVS_LOST)
@@ -168,17 +177,17 @@
     /* Somebody has just repeated the state.  */
     e->next_state_ns = clk_now () + e->set.refresh_s * CLK_S
                        + jitter (e->set.refresh_s * CLK_S);
-  if (e->rules.version != before)
-    ent_log_rules_changed (e, "log");
 }
 
+/* Only the version at the stream's end comes into force: those before it are
+   history, which an instance that starts late must not go through.  */
 static void
 rules_caught_up (void *priv)
 {
   struct ent_entry *e = priv;
 
-  if (e->rules.known && !e->view->ready)
-    ent_publish_view (e);
+  if (e->rules.known)
+    ent_log_rules_judged (e, "log");
 }
 
 void
@@ -210,10 +219,11 @@
 {
   if (e->announced && !e->leaving && now_ns >= e->next_refresh_ns)
     announce (e, now_ns);
-  if (e->rules.known && e->rules.version > 0 && lgt_reachable (e->rules_tail)
-      && now_ns >= e->next_state_ns)
+  if (e->rules_ready && e->rules.known && e->rules.version > 0
+      && lgt_reachable (e->rules_tail) && now_ns >= e->next_state_ns)
     repeat_state (e, now_ns);
-  if ((!e->rules.known || !e->members_known) && now_ns >= e->next_sync_ns)
+  if ((!e->rules_ready || !e->rules.known || !e->members_known)
+      && now_ns >= e->next_sync_ns)
     {
       e->next_sync_ns = now_ns + SYNC_NS;
       ent_peer_sync (e);
--- a/src/entry_peer.c
+++ b/src/entry_peer.c
@@ -281,7 +281,7 @@
 
   memset (&beat, 0, sizeof beat);
   beat.roster = peer->entry->roster.offset;
-  beat.rules = peer->entry->rules.version;
+  beat.rules = peer->entry->force_version;
   peer->beat_ns = now_ns;
   onc_call (peer->conn, LVP_BEAT, (xdrproc_t)xdr_lvp_beat, &beat, on_beat,
             peer);
@@ -375,7 +375,7 @@
                     wir_slice (&sync.rules)))
     {
       lgt_seek (e->rules_tail, e->rules.offset + 1);
-      ent_log_rules_changed (e, onc_peer (conn));
+      ent_log_rules_judged (e, onc_peer (conn));
     }
   WIR_FREE (lvp_sync_res, &sync);
 }
--- a/tests/process/test_rules.py
+++ b/tests/process/test_rules.py
@@ -181,6 +181,47 @@
             self.await_version(c, 5)
             self.check_monotone(c)
 
+    def test_a_cold_start_begins_at_the_version_in_force(self):
+        """No version that the log still holds comes into force again."""
+        with Cluster(entries=2, agents=1) as c:
+            for n in range(4):
+                self.assertEqual(c.publish(rule(n)).returncode, 0)
+            names = [plan["name"] for plan in c.entry_plan]
+            for name in names:
+                self.assertTrue(wait_until(
+                    lambda: self.versions(c, name)[-1:] == [4]))
+            before = {name: self.versions(c, name) for name in names}
+            for p in c.entries:
+                p.kill()
+            c.entries = [c.start_entry(i) for i in range(2)]
+            c.wait_ready()
+            for name in names:
+                self.assertTrue(wait_until(
+                    lambda: len(self.versions(c, name)) > len(before[name])))
+                self.assertEqual(self.versions(c, name), before[name] + [4])
+
+    def test_not_ready_before_the_end_of_the_stream_was_read(self):
+        """More records than one read brings, from a slow log."""
+        with Cluster(entries=1, agents=1) as c:
+            self.assertEqual(c.publish(rule(0)).returncode, 0)
+            c.log_control(rate=100000)
+            for _ in range(1200):
+                http("POST", c.log_url + "/streams/rules/append",
+                     b'{"type":"other"}')
+            self.assertEqual(c.publish(
+                "refuse team t # A: must hold from the first request\n")
+                .returncode, 0)
+            self.await_version(c, 2)
+            c.entries[0].kill()
+            c.log_control(slow_ms=300)
+            c.entries[0] = c.start_entry(0)
+            self.assertTrue(wait_until(c.entries[0].ready, every=0.005))
+            done = Caller(c, 0, job(1, 20))
+            self.assertEqual(done.result(), "not_run", done.answers)
+            self.assertEqual(done.answers[0][1]["error"]["code"],
+                             "refused_by_rule")
+            self.check_monotone(c)
+
     def test_damaged_and_foreign_records(self):
         with Cluster(entries=2, agents=1) as c:
             self.assertEqual(c.publish(rule(1)).returncode, 0)
