Load tool: arrivals by a timer descriptor, so that sockets are served

Cause: at more than 800 requests a second the tool measured itself. It woke early by loop timers that were always due, and the loop looks at no socket while a timer is due: answers lay in their sockets for a second or more.

--- a/tools/load.c
+++ b/tools/load.c
@@ -10,7 +10,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/timerfd.h>
 #include <talloc.h>
+#include <unistd.h>
 
 #include "clock.h"
 #include "daemon.h"
@@ -21,7 +23,6 @@
 #define CONNECTIONS 8192L
 #define ANSWER_TIMEOUT_MS 120000L
 #define DRAIN_S 60
-#define EARLY_US 1200ULL
 
 struct run
 {
@@ -32,6 +33,7 @@
   const char *entries[LOAD_ENTRIES_MAX];
   int entry_count;
   uint64_t began_ns;
+  int timer_fd; /* readable when the next job is due */
   uint32_t next;
   uint32_t open;
 };
@@ -110,36 +112,31 @@
   talloc_free (body);
 }
 
-static void send_due (struct tevent_context *ev, struct tevent_timer *te,
-                      struct timeval at, void *priv);
-
+/* A descriptor, not one of the loop's timers: those round up to a millisecond,
+   and while one is due no socket is looked at.  */
 static void
 schedule (struct run *run)
 {
   uint64_t due = run->began_ns + run->plan->job[run->next].due_ns;
-  uint64_t now = clk_now ();
-  uint64_t wait_us = due > now ? (due - now) / 1000 : 0;
-
-  /* The loop's timers round up to a millisecond: wake early and look again,
-     rather than charge that to the request.  */
-  wait_us = wait_us > EARLY_US ? wait_us - EARLY_US : 0;
+  struct itimerspec at = { .it_value = { .tv_sec = (time_t)(due / CLK_S),
+                                         .tv_nsec = (long)(due % CLK_S) } };
 
-  tevent_add_timer (run->ev, run->ev,
-                    tevent_timeval_current_ofs ((uint32_t)(wait_us / 1000000),
-                                                (uint32_t)(wait_us % 1000000)),
-                    send_due, run);
+  timerfd_settime (run->timer_fd, TFD_TIMER_ABSTIME, &at, NULL);
 }
 
 static void
-send_due (struct tevent_context *ev, struct tevent_timer *te,
-          struct timeval at, void *priv)
+send_due (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+          void *priv)
 {
   struct run *run = priv;
   struct load_plan *plan = run->plan;
+  uint64_t fired;
 
   (void)ev;
-  (void)te;
-  (void)at;
+  (void)fde;
+  (void)flags;
+  if (read (run->timer_fd, &fired, sizeof fired) < 0)
+    return;
   while (run->next < plan->jobs
          && run->began_ns + plan->job[run->next].due_ns <= clk_now ())
     {
@@ -156,11 +153,15 @@
   uint64_t end;
 
   run->began_ns = clk_now ();
+  run->timer_fd = timerfd_create (CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+  tevent_add_fd (run->ev, run->ev, run->timer_fd, TEVENT_FD_READ, send_due,
+                 run);
   end = run->began_ns + (uint64_t)(run->scenario->seconds + DRAIN_S) * CLK_S;
   if (run->plan->jobs > 0)
     schedule (run);
   while ((run->next < run->plan->jobs || run->open > 0) && clk_now () < end)
     tevent_loop_once (run->ev);
+  close (run->timer_fd);
 }
 
 static int
