A leaving agent lets its last outcome out before it ends

Cause: an agent that was told to leave ended in the very loop turn in which its last task did, before the reply was written: the task had run, and its caller got "may have run". A graceful shutdown cut a request in flight. Found by the first test of workers' tasks, which run longer than the 500 ms for which a leaver stays anyway. Ruled out: the entry (it waited until resolve_ms for a reply that never came), the minion (it had answered). Only flushing before exit is not enough: unread bytes in the socket at exit make the kernel reset the connection, the reply included. Way taken: the agent stays 500 ms after its last task too. Conclusion: the test that was there used tasks of 60 ms, which end within the stay.

--- a/src/agent.c
+++ b/src/agent.c
@@ -11,7 +11,8 @@
 #include "net.h"
 
 #define TICK_MS 100
-/* Least time that a leaver goes on refusing, so that entries hear of it.  */
+/* Least time that a leaver goes on refusing, so that entries hear of it, and
+   goes on after its last task, so that they hear how that ended.  */
 #define LEAVE_LINGER_NS (500 * CLK_MS)
 #define KEY_BYTES_SHARE 4
 
@@ -219,9 +220,13 @@
   agt_member_leave (a, why);
 }
 
+/* The last outcome must be out and read before this process ends.  */
 bool
 agt_done (const struct agt_agent *a)
 {
+  uint64_t now = clk_now ();
+
   return a->leaving && a->running_count == 0 && a->held_count == 0
-         && clk_since (clk_now (), a->leaving_ns) > LEAVE_LINGER_NS;
+         && clk_since (now, a->leaving_ns) > LEAVE_LINGER_NS
+         && clk_since (now, a->ended_ns) > LEAVE_LINGER_NS;
 }
--- a/src/agent.h
+++ b/src/agent.h
@@ -163,6 +163,7 @@
   bool announced;
   bool leaving;
   uint64_t leaving_ns;
+  uint64_t ended_ns; /* a task last ended */
   uint64_t last_tick_ns;
   uint64_t next_refresh_ns;
   struct ctr_set counters;
--- a/src/agent_run.c
+++ b/src/agent_run.c
@@ -163,6 +163,7 @@
 {
   struct agt_agent *a = run->agent;
 
+  a->ended_ns = clk_now ();
   DL_DELETE (a->running, run);
   a->running_count--;
   if (run->place >= 0)
--- a/tests/process/test_wholeness.py
+++ b/tests/process/test_wholeness.py
@@ -146,6 +146,16 @@
             self.assertEqual({x.result() for x in load.callers}, {"complete"})
             self.judge(c, load.callers)
 
+    def test_agent_told_to_leave_ends_a_long_task(self):
+        """Its last outcome is out before the process ends."""
+        with Cluster(entries=2, agents=2) as c:
+            callers = [Caller(c, i % 2, job(1, 900 + 50 * i))
+                       for i in range(12)]
+            self.assertTrue(wait_until(lambda: len(c.starts()) == 12))
+            self.assertEqual(c.agents[0].stop(), 0)
+            self.assertEqual({x.result() for x in callers}, {"complete"})
+            self.judge(c, callers)
+
     def test_minion_that_says_it_leaves(self):
         with cluster(entries=2, agents=3) as c:
             load = Load(c, tries=1)
