A team that used little lately may burst beyond its share

Cause: others' p99 grew under floods because an entry judged shares by the slots occupied at the moment. A reseller at half its share on the whole is beyond its part at one entry every tenth time by chance; a school's job of 20 tasks is beyond its 5 slots at once. Such work then queued with the flood. Ruled out: the way of credits (the entitled get the next freed slot, and waits of single tasks were a few ms); urgency (counter, urgent, was within its bound). Ways weighed: judging by the mean use of the last 10 s alone (the unit test of two busy teams showed them swing between all slots and none; reverted); a burst in place of the share (takes from others' share); a third rank between share and the rest: who is beyond its share but used less than three quarters of it lately.

--- a/examples/queue.c
+++ b/examples/queue.c
@@ -42,7 +42,7 @@
             kind, est_mean (&estimates, kind), 0, 100);
   while ((next = que_peek (&queue, 200 * MS, NULL, NULL)) != NULL)
     {
-      que_take (&queue, next);
+      que_take (&queue, next, 200 * MS);
       printf ("%s\n", ((struct work *)(void *)next)->name);
     }
   que_finish (&queue);
--- a/include/lagoonvale/lagoonvale.h
+++ b/include/lagoonvale/lagoonvale.h
@@ -7,7 +7,7 @@
  *
  * Identity:  sid (submission ids), roster (members, homes of keys)
  * Starting:  ledger, submission, adopt, keybind
- * Deciding:  queue, estimate, grant, placement, health
+ * Deciding:  queue, share, estimate, grant, placement, health
  * Rules:     rules, ruleversion
  * Metrics:   counter
  */
@@ -26,6 +26,7 @@
 #include "lagoonvale/roster.h"
 #include "lagoonvale/rules.h"
 #include "lagoonvale/ruleversion.h"
+#include "lagoonvale/share.h"
 #include "lagoonvale/sid.h"
 #include "lagoonvale/slice.h"
 #include "lagoonvale/submission.h"
--- a/include/lagoonvale/queue.h
+++ b/include/lagoonvale/queue.h
@@ -2,13 +2,13 @@
  * DOC: queue
  *
  * The queue of an entry.  Tasks wait in flows, one per (team, urgency, kind).
- * Teams share the slots by weight, counted in slots that their tasks occupy
- * now; a team below its share goes first, and of such teams the most urgent
- * work.  Beyond the shares, the team that occupies least for its weight goes
- * first.  Within a team, urgencies and kinds have parts in the same way, so
- * that no flood, however urgent, takes more than its share from the rest.
- * Within a flow, tasks are ordered by an order policy (arrival, shortest, or
- * response ratio).  Pure.
+ * Teams share the slots by weight, counted in slots that their tasks occupy.
+ * A team below its share goes first; then one that is beyond it for a burst,
+ * having used little lately; in both ranks the most urgent work first.  Then
+ * comes the team that occupies least for its weight.  Within a team, urgencies
+ * and kinds have parts in the same way, so that no flood, however urgent,
+ * takes more than its share from the rest. Within a flow, tasks are ordered by
+ * an order policy (arrival, shortest, or response ratio).  Pure.
  *
  * A job's tasks get arrival stamps that spread with their position in the job,
  * so that one large job does not block later small ones of its team.
@@ -31,6 +31,10 @@
 };
 /** Count of urgencies. */
 #define QUE_URGENCIES 3
+/** Time in which a use of slots fades from memory, ns; see share.h. */
+#define QUE_MEMORY_NS 10000000000ULL
+/** Part of its share that a team used lately, below which it may burst. */
+#define QUE_BURST_BELOW 0.75
 /** Estimate buckets in a flow, half octaves from 2^22 ns (4 ms). */
 #define QUE_BUCKETS 24
 
@@ -40,6 +44,7 @@
 
 /**
  * struct que_item - a waiting task; embed it, zeroed
+ * @slots: what it occupies while it runs, set by the caller; 0 counts as 1
  * @flow: flow it waits in, NULL when it waits nowhere
  * @stamp_ns: arrival, spread by its position in the job
  * @estimate_ns: expected run time
@@ -48,6 +53,7 @@
  */
 struct que_item
 {
+  uint32_t slots;
   struct que_flow *flow;
   uint64_t stamp_ns;
   uint64_t estimate_ns;
@@ -77,6 +83,7 @@
  * @work_ns: sum of their estimates
  * @slots: slots that this queue can count on; the caller keeps it current
  * @weights: sum of the weights of teams that wait or run
+ * @memory_ns: QUE_MEMORY_NS; 0 lets no team burst
  * @weight_of: configured weight of a team; NULL for 1 each
  * @weight_priv: passed to @weight_of
  */
@@ -91,6 +98,7 @@
   uint64_t work_ns;
   double slots;
   double weights;
+  uint64_t memory_ns;
   size_t urgency_count[QUE_URGENCIES];
   double (*weight_of) (void *priv, struct lv_slice team);
   void *weight_priv;
@@ -129,11 +137,12 @@
 void que_reweigh (struct que_queue *q);
 
 /** que_take() - remove a peeked task; it counts as running from here on. */
-void que_take (struct que_queue *q, struct que_item *item);
+void que_take (struct que_queue *q, struct que_item *item, uint64_t now_ns);
 
-/** que_done() - a taken task of this flow runs no more, or went nowhere. */
+/** que_done() - a taken task of @slots runs no more, or went nowhere. */
 void que_done (struct que_queue *q, struct lv_slice team,
-               enum que_urgency urgency, struct lv_slice kind);
+               enum que_urgency urgency, struct lv_slice kind, uint32_t slots,
+               uint64_t now_ns);
 
 /** que_wait_ns() - expected wait of a new task of this flow. */
 uint64_t que_wait_ns (const struct que_queue *q, struct lv_slice team,
@@ -142,14 +151,15 @@
 /** que_team_count() - tasks of @team that wait. */
 size_t que_team_count (const struct que_queue *q, struct lv_slice team);
 
-/** que_entitled() - waiting tasks of teams that are within their share. */
-size_t que_entitled (const struct que_queue *q);
+/** que_entitled() - waiting tasks of teams within their share or a burst. */
+size_t que_entitled (const struct que_queue *q, uint64_t now_ns);
 
 /**
- * que_may_wait() - whether @item's team is beyond its share while other teams
- * are at work: a few slots may be kept back from it for them
+ * que_may_wait() - whether @item's team is beyond its share, and not for a
+ * burst, while other teams are at work: a few slots may be kept back from it
  */
-bool que_may_wait (const struct que_queue *q, const struct que_item *item);
+bool que_may_wait (const struct que_queue *q, const struct que_item *item,
+                   uint64_t now_ns);
 
 /** que_most_urgent() - urgency of the most urgent waiting task. */
 enum que_urgency que_most_urgent (const struct que_queue *q);
--- a/src/entry_dispatch.c
+++ b/src/entry_dispatch.c
@@ -65,7 +65,8 @@
     return;
   ent_usage_add (e, team_of (rec), kind, -1);
   if (!call->found)
-    que_done (&e->queue, team_of (rec), rec->body->urgency, kind);
+    que_done (&e->queue, team_of (rec), rec->body->urgency, kind, 1,
+              clk_now ());
 }
 
 static enum sub_outcome
@@ -384,13 +385,14 @@
 /* Credits kept for teams within their share, so that their next task finds a
    slot while a flood has taken the rest.  */
 static bool
-keep_back (const struct ent_entry *e, const struct que_item *item)
+keep_back (const struct ent_entry *e, const struct que_item *item,
+           uint64_t now_ns)
 {
   uint32_t reserve = (uint32_t)(e->queue.slots / SLOTS_PER_RESERVE);
   const struct ent_link *link;
   uint32_t credits = 0;
 
-  if (!e->policy->credited || !que_may_wait (&e->queue, item))
+  if (!e->policy->credited || !que_may_wait (&e->queue, item, now_ns))
     return false;
   if (reserve > e->set.reserve)
     reserve = (uint32_t)e->set.reserve;
@@ -414,12 +416,12 @@
       struct ent_task *task = (struct ent_task *)(void *)item;
       struct ent_link *link;
 
-      if (item == NULL || keep_back (e, item))
+      if (item == NULL || keep_back (e, item, now))
         break;
       link = choose (e, task, now);
       if (link == NULL)
         break;
-      que_take (&e->queue, item);
+      que_take (&e->queue, item, now);
       start_at (link, task, now);
     }
   ent_link_demand (e, (uint32_t)e->queue.count, now);
--- a/src/entry_link.c
+++ b/src/entry_link.c
@@ -248,7 +248,7 @@
   lvp_beat beat;
 
   beat.queued = queued;
-  beat.entitled = (u_int)que_entitled (&e->queue);
+  beat.entitled = (u_int)que_entitled (&e->queue, now_ns);
   beat.urgency = que_most_urgent (&e->queue);
   beat.roster = e->roster.offset;
   beat.rules = e->force_version;
@@ -339,7 +339,8 @@
 void
 ent_link_demand (struct ent_entry *e, uint32_t queued, uint64_t now_ns)
 {
-  uint32_t entitled = queued > 0 ? (uint32_t)que_entitled (&e->queue) : 0;
+  uint32_t entitled
+      = queued > 0 ? (uint32_t)que_entitled (&e->queue, now_ns) : 0;
   struct ent_link *link;
 
   if (!e->policy->credited)
--- a/src/queue.c
+++ b/src/queue.c
@@ -7,6 +7,8 @@
 #include <uthash.h>
 #include <utlist.h>
 
+#include "lagoonvale/share.h"
+
 #define FIRST_OCTAVE 22
 #define PER_OCTAVE 2
 #define NAME_BYTES 64
@@ -27,7 +29,7 @@
   size_t name_len;
   double weight;
   size_t count;
-  size_t running;
+  struct shr_use use;
   unsigned kinds[QUE_URGENCIES]; /* flows that wait or run, by urgency */
   UT_hash_handle hh;
 };
@@ -40,7 +42,7 @@
   struct lv_slice kind;
   enum que_urgency urgency;
   size_t count;
-  size_t running;
+  struct shr_use use;
   uint64_t work_ns;
   struct heap bucket[QUE_BUCKETS];
   struct que_flow *prev;
@@ -91,6 +93,7 @@
   q->mem_ctx = mem_ctx;
   q->order = order;
   q->slots = 1;
+  q->memory_ns = QUE_MEMORY_NS;
 }
 
 void
@@ -281,17 +284,17 @@
 note_active (struct que_queue *q, struct que_flow *f, bool was)
 {
   struct que_team *t = f->team;
-  bool is = f->count + f->running > 0;
+  bool is = f->count + f->use.running > 0;
 
   if (is == was)
     return;
-  if (is && t->count + t->running <= 1)
+  if (is && t->count + t->use.running <= 1)
     {
       if (q->weight_of != NULL)
         t->weight = q->weight_of (q->weight_priv, team_name (t));
       q->weights += t->weight;
     }
-  else if (!is && t->count + t->running == 0)
+  else if (!is && t->count + t->use.running == 0)
     q->weights -= t->weight;
   t->kinds[f->urgency] += is ? 1 : (unsigned)-1;
 }
@@ -315,7 +318,7 @@
     DL_APPEND (q->backlogged, f);
   f->count++;
   f->team->count++;
-  note_active (q, f, f->count + f->running > 1);
+  note_active (q, f, f->count + f->use.running > 1);
   f->work_ns += estimate_ns;
   q->count++;
   q->work_ns += estimate_ns;
@@ -373,66 +376,89 @@
   return best;
 }
 
-/* How much of its part a flow uses, within its team: running tasks over the
-   weight of its urgency, which the kinds of that urgency split.  */
+/* How much of its part a flow uses, within its team: slots over the weight of
+   its urgency, which the kinds of that urgency split.  */
 static double
-flow_use (const struct que_flow *f)
+flow_use (const struct que_flow *f, double slots)
 {
-  return (double)f->running * f->team->kinds[f->urgency]
-         / urgency_factor[f->urgency];
+  return slots * f->team->kinds[f->urgency] / urgency_factor[f->urgency];
 }
 
 static double
 team_use (const struct que_team *t)
 {
-  return (double)t->running / t->weight;
+  return (double)t->use.running / t->weight;
 }
 
-static bool
-team_within_share (const struct que_queue *q, const struct que_team *t)
+/* Who goes first: lower ranks do.  */
+enum rank
 {
-  return (double)t->running < q->slots * t->weight / q->weights;
+  WITHIN_SHARE,
+  IN_BURST,
+  BEYOND_SHARE,
+};
+
+static enum rank
+team_rank (const struct que_queue *q, const struct que_team *t,
+           uint64_t now_ns)
+{
+  double share = q->slots * t->weight / q->weights;
+
+  if ((double)t->use.running < share)
+    return WITHIN_SHARE;
+  if (q->memory_ns > 0
+      && shr_lately (&t->use, now_ns, q->memory_ns) < QUE_BURST_BELOW * share)
+    return IN_BURST;
+  return BEYOND_SHARE;
 }
 
-/* Whether a flow uses less than its part of what its team runs.  */
-static bool
-flow_within_part (const struct que_flow *f)
+/* As for teams, of the slots that the flow's team occupies.  */
+static enum rank
+flow_rank (const struct que_queue *q, const struct que_flow *f,
+           uint64_t now_ns)
 {
   const struct que_team *t = f->team;
   double factors = 0;
 
   for (int u = 0; u < QUE_URGENCIES; u++)
     factors += t->kinds[u] > 0 ? urgency_factor[u] : 0;
-  return flow_use (f) * factors <= (double)t->running;
+  if (flow_use (f, f->use.running) * factors <= (double)t->use.running)
+    return WITHIN_SHARE;
+  if (q->memory_ns > 0
+      && flow_use (f, shr_lately (&f->use, now_ns, q->memory_ns)) * factors
+             < QUE_BURST_BELOW * shr_lately (&t->use, now_ns, q->memory_ns))
+    return IN_BURST;
+  return BEYOND_SHARE;
 }
 
 static bool
-goes_before_in_team (const struct que_flow *a, const struct que_flow *b)
+goes_before_in_team (const struct que_queue *q, const struct que_flow *a,
+                     const struct que_flow *b, uint64_t now_ns)
 {
-  bool a_within = flow_within_part (a);
-  bool b_within = flow_within_part (b);
+  enum rank a_rank = flow_rank (q, a, now_ns);
+  enum rank b_rank = flow_rank (q, b, now_ns);
 
-  if (a_within != b_within)
-    return a_within;
-  if (a_within && a->urgency != b->urgency)
+  if (a_rank != b_rank)
+    return a_rank < b_rank;
+  if (a_rank != BEYOND_SHARE && a->urgency != b->urgency)
     return a->urgency < b->urgency;
-  return flow_use (a) < flow_use (b);
+  return flow_use (a, a->use.running) < flow_use (b, b->use.running);
 }
 
-/* Whether A goes before B.  Teams within their share first, of these the most
-   urgent work; beyond the shares, the team that uses least for its weight.  */
 static bool
 goes_before (const struct que_queue *q, const struct que_flow *a,
-             const struct que_flow *b)
+             const struct que_flow *b, uint64_t now_ns)
 {
-  bool a_within = team_within_share (q, a->team);
-  bool b_within = team_within_share (q, b->team);
+  enum rank a_rank;
+  enum rank b_rank;
 
   if (a->team == b->team)
-    return goes_before_in_team (a, b);
-  if (a_within != b_within)
-    return a_within;
-  if (a_within && a->urgency != b->urgency)
+    return goes_before_in_team (q, a, b, now_ns);
+  a_rank = team_rank (q, a->team, now_ns);
+  b_rank = team_rank (q, b->team, now_ns);
+  if (a_rank != b_rank)
+    return a_rank < b_rank;
+  if (a_rank != BEYOND_SHARE && a->urgency != b->urgency)
     return a->urgency < b->urgency;
   return team_use (a->team) < team_use (b->team);
 }
@@ -450,7 +476,7 @@
   {
     if (blocked != NULL && blocked (priv, team_name (f->team), f->kind))
       continue;
-    if (best == NULL || goes_before (q, f, best))
+    if (best == NULL || goes_before (q, f, best, now_ns))
       best = f;
   }
   return best != NULL ? best_item (q, best, now_ns) : NULL;
@@ -465,7 +491,7 @@
   q->weights = 0;
   HASH_ITER (hh, q->teams, t, next)
   {
-    if (t->count + t->running == 0)
+    if (t->count + t->use.running == 0)
       continue;
     if (q->weight_of != NULL)
       t->weight = q->weight_of (q->weight_priv, team_name (t));
@@ -473,26 +499,32 @@
   }
 }
 
+static int
+occupied (uint32_t slots)
+{
+  return slots > 0 ? (int)slots : 1;
+}
+
 void
-que_take (struct que_queue *q, struct que_item *item)
+que_take (struct que_queue *q, struct que_item *item, uint64_t now_ns)
 {
   struct que_flow *f = item->flow;
 
-  f->running++;
-  f->team->running++;
+  shr_change (&f->use, occupied (item->slots), now_ns, q->memory_ns);
+  shr_change (&f->team->use, occupied (item->slots), now_ns, q->memory_ns);
   unlink_item (q, item);
 }
 
 void
 que_done (struct que_queue *q, struct lv_slice team, enum que_urgency urgency,
-          struct lv_slice kind)
+          struct lv_slice kind, uint32_t slots, uint64_t now_ns)
 {
   struct que_flow *f = find_flow (q, team, urgency, kind);
 
-  if (f == NULL || f->running == 0)
+  if (f == NULL || f->use.running == 0)
     return;
-  f->running--;
-  f->team->running--;
+  shr_change (&f->use, -occupied (slots), now_ns, q->memory_ns);
+  shr_change (&f->team->use, -occupied (slots), now_ns, q->memory_ns);
   note_active (q, f, true);
 }
 
@@ -511,7 +543,7 @@
   for (int u = 0; u < QUE_URGENCIES; u++)
     factors += t->kinds[u] > 0 ? urgency_factor[u] : 0;
   /* What the team runs now, or its share if that is more.  */
-  slots = fmax ((double)t->running, q->slots * t->weight / q->weights);
+  slots = fmax ((double)t->use.running, q->slots * t->weight / q->weights);
   slots *= urgency_factor[urgency] / factors / t->kinds[urgency];
   return (uint64_t)((double)f->work_ns / fmax (slots, 1e-3));
 }
@@ -525,25 +557,26 @@
 }
 
 size_t
-que_entitled (const struct que_queue *q)
+que_entitled (const struct que_queue *q, uint64_t now_ns)
 {
   const struct que_flow *f;
   size_t entitled = 0;
 
   DL_FOREACH (q->backlogged, f)
   {
-    if (team_within_share (q, f->team))
+    if (team_rank (q, f->team, now_ns) != BEYOND_SHARE)
       entitled += f->count;
   }
   return entitled;
 }
 
 bool
-que_may_wait (const struct que_queue *q, const struct que_item *item)
+que_may_wait (const struct que_queue *q, const struct que_item *item,
+              uint64_t now_ns)
 {
   const struct que_team *t = item->flow->team;
 
-  return q->weights > t->weight && !team_within_share (q, t);
+  return q->weights > t->weight && team_rank (q, t, now_ns) == BEYOND_SHARE;
 }
 
 enum que_urgency
--- a/tools/slopes.c
+++ b/tools/slopes.c
@@ -83,7 +83,7 @@
         }
       began = clk_now ();
       for (unsigned i = 0; i < count; i++)
-        que_take (&q, que_peek (&q, CLK_S, NULL, NULL));
+        que_take (&q, que_peek (&q, CLK_S, NULL, NULL), CLK_S);
       point ("queue_ns_per_task", sizes[s],
              (double)(clk_now () - began) / count);
       que_finish (&q);
