--- a/tests/unit/decisions_test.cc
+++ b/tests/unit/decisions_test.cc
@@ -296,7 +296,7 @@
 }
 
 /* Service that a light team gets while another floods, by urgency of the
-   flood: its share is kept in each case.  Of the slots occupied now alone.  */
+   flood: its share is kept in each case.  */
 TEST_F (Queue, NoFloodTakesMoreThanItsShare)
 {
   for (que_urgency flood : { QUE_URGENT, QUE_NORMAL, QUE_BULK })
@@ -304,7 +304,6 @@
       std::vector<Item> items (400);
       TearDown ();
       SetUp ();
-      q.memory_ns = 0;
       q.slots = 88;
       for (int i = 0; i < 300; i++)
         {
@@ -328,7 +327,6 @@
 TEST_F (Queue, NoFloodWithinATeamStarvesTheRest)
 {
   std::vector<Item> items (300);
-  q.memory_ns = 0;
   q.slots = 88;
   for (int i = 0; i < 200; i++)
     {
