A burst ends at the whole share, not at three quarters of it

Cause: schools uses 2.9 slots of its 5.3 at an entry in the mean of 10 s, give or take 1; three quarters of its share, 4.0, is passed one time in eight by chance. The margin was for a design that judged by the mean alone; with the share as a rank of its own there is nothing to swing (unit test ABurstTakesNoShareFromOthers). Conclusion: what is left is width: a job of 20 tasks of 50 to 200 ms needs 20 slots, which a full fleet of 88 frees in about 70 ms.

--- a/src/queue.c
+++ b/src/queue.c
@@ -406,8 +406,7 @@
 
   if ((double)t->use.running < share)
     return WITHIN_SHARE;
-  if (q->memory_ns > 0
-      && shr_lately (&t->use, now_ns, q->memory_ns) < QUE_BURST_BELOW * share)
+  if (q->memory_ns > 0 && shr_lately (&t->use, now_ns, q->memory_ns) < share)
     return IN_BURST;
   return BEYOND_SHARE;
 }
@@ -426,7 +425,7 @@
     return WITHIN_SHARE;
   if (q->memory_ns > 0
       && flow_use (f, shr_lately (&f->use, now_ns, q->memory_ns)) * factors
-             < QUE_BURST_BELOW * shr_lately (&t->use, now_ns, q->memory_ns))
+             < shr_lately (&t->use, now_ns, q->memory_ns))
     return IN_BURST;
   return BEYOND_SHARE;
 }
