--- a/include/lagoonvale/lagoonvale.h
+++ b/include/lagoonvale/lagoonvale.h
@@ -8,6 +8,7 @@
  * Identity:  sid (submission ids), roster (members, homes of keys)
  * Starting:  ledger, submission, adopt, keybind
  * Deciding:  queue, share, estimate, grant, placement, health
+ * Workers:   lease, room, turn
  * Rules:     rules, ruleversion
  * Metrics:   counter
  */
@@ -20,9 +21,11 @@
 #include "lagoonvale/grant.h"
 #include "lagoonvale/health.h"
 #include "lagoonvale/keybind.h"
+#include "lagoonvale/lease.h"
 #include "lagoonvale/ledger.h"
 #include "lagoonvale/placement.h"
 #include "lagoonvale/queue.h"
+#include "lagoonvale/room.h"
 #include "lagoonvale/roster.h"
 #include "lagoonvale/rules.h"
 #include "lagoonvale/ruleversion.h"
@@ -30,5 +33,6 @@
 #include "lagoonvale/sid.h"
 #include "lagoonvale/slice.h"
 #include "lagoonvale/submission.h"
+#include "lagoonvale/turn.h"
 
 #endif
--- a/include/lagoonvale/placement.h
+++ b/include/lagoonvale/placement.h
@@ -11,6 +11,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "lagoonvale/room.h"
+
 /**
  * struct plc_target - what an entry knows of one target
  * @usable: connected, fit, and eligible for the task
@@ -49,6 +51,24 @@
                  plc_random_fn random, void *priv);
 };
 
+/**
+ * struct plc_worker - a worker that has room for the task
+ * @near: in the entry's own failure domain
+ * @free: what new tasks may declare there
+ */
+struct plc_worker
+{
+  bool near;
+  struct rom_size free;
+};
+
+/**
+ * plc_worker_better() - whether @a suits better than @b: near first, then the
+ * one with less left, so that large tasks find large holes
+ */
+bool plc_worker_better (const struct plc_worker *a,
+                        const struct plc_worker *b);
+
 /** plc_find() - policy by name, or NULL. */
 const struct plc_policy *plc_find (const char *name);
 
--- a/proto/lvproto.x
+++ b/proto/lvproto.x
@@ -19,6 +19,20 @@
   unsigned int port;
 };
 
+struct lvp_size
+{
+  unsigned int cores;
+  unsigned int memory_mb;
+  unsigned int accelerators;
+};
+
+/* A worker that an agent keeps; all 0 while it holds no lease.  */
+struct lvp_room
+{
+  lvp_size total;
+  lvp_size free;
+};
+
 enum lvp_role { LVP_ENTRY = 1, LVP_AGENT = 2, LVP_TOOL = 3 };
 
 struct lvp_hello
@@ -38,6 +52,7 @@
   unsigned int slots;
   unsigned hyper joined;	/* log offset of the announcement, 0: none */
   bool leaving;
+  lvp_room room;
 };
 
 struct lvp_beat
@@ -45,6 +60,7 @@
   unsigned int queued;		/* tasks that wait for a credit */
   unsigned int entitled;	/* of these, of teams within their share */
   unsigned int urgency;		/* of the most urgent one that waits */
+  unsigned int work;		/* tasks that wait for room at workers */
   unsigned hyper roster;
   unsigned hyper rules;
 };
@@ -63,6 +79,7 @@
   unsigned int index;
   bool credited;		/* spends a credit; false: a baseline policy */
   lvp_name kind;
+  lvp_size need;		/* all 0: a request to the minion */
   lvp_bytes payload;
 };
 
@@ -172,5 +189,6 @@
     int LVP_GRANT (int) = 8;
     lvp_forward_res LVP_FORWARD (lvp_forward) = 9;
     lvp_sync_res LVP_SYNC (unsigned hyper) = 10;
+    void LVP_ROOM (lvp_room) = 11;
   } = 1;
 } = 0x20004c56;
--- a/src/agent.c
+++ b/src/agent.c
@@ -43,6 +43,10 @@
        "tasks held here ahead of a slot"),
   KEY ("target.connections", SET_UINT, connections, "64", 1, 4096,
        "connections to the minion"),
+  KEY ("worker.url", SET_STRING, worker_url, "", 0, 0,
+       "worker that this agent keeps, http://IP:PORT; none if empty"),
+  KEY ("worker.lease_ms", SET_UINT, worker_lease_ms, "3000", 300, 600000,
+       "milliseconds of the lease on the worker"),
   KEY ("window_s", SET_UINT, window_s, "300", 1, 86400,
        "seconds in which a submission may be sent again"),
   KEY ("ledger_bytes", SET_UINT, ledger_bytes, "33554432", 4096, 1ULL << 40,
@@ -139,6 +143,7 @@
   agt_member_tick (a, now);
   if (a->target->watch != NULL && !a->leaving)
     a->target->watch (a);
+  agt_worker_tick (a, now);
   update_gauges (a);
   log_flush ();
   next_tick (a);
@@ -227,6 +232,7 @@
   uint64_t now = clk_now ();
 
   return a->leaving && a->running_count == 0 && a->held_count == 0
+         && a->worker.running == 0
          && clk_since (now, a->leaving_ns) > LEAVE_LINGER_NS
          && clk_since (now, a->ended_ns) > LEAVE_LINGER_NS;
 }
--- a/src/agent.h
+++ b/src/agent.h
@@ -2,11 +2,14 @@
  * DOC: agent
  *
  * The process beside each minion.  It owns the minion's slots, announces the
- * minion, and decides each start with its ledger.
+ * minion, and decides each start with its ledger.  It may also keep a worker:
+ * workers have no process of ours beside them, so an agent holds a lease on
+ * one and starts tasks that declare resources there.
  *
  *   agent.c          life of the process: ticks, leaving, wiring
  *   agent_session.c  connections from entries and their calls
  *   agent_run.c      tasks that run, and who waits for them
+ *   agent_worker.c   the worker that this agent keeps under a lease
  *   agent_member.c   the membership stream
  *   agent_target.c   the kinds of target, behind a table of functions
  */
@@ -18,8 +21,11 @@
 #include "http_client.h"
 #include "lagoonvale/grant.h"
 #include "lagoonvale/keybind.h"
+#include "lagoonvale/lease.h"
 #include "lagoonvale/ledger.h"
+#include "lagoonvale/room.h"
 #include "lagoonvale/roster.h"
+#include "lagoonvale/turn.h"
 #include "logtail.h"
 #include "lvproto.h"
 #include "onc.h"
@@ -41,6 +47,8 @@
   char *log_level;
   char *target_kind;
   char *target_url;
+  char *worker_url;
+  uint64_t worker_lease_ms;
   uint64_t slots;
   uint64_t ahead;
   uint64_t connections;
@@ -84,6 +92,8 @@
  * @place: in the grants, -1 before HELLO or for peers that get no credits
  * @incarnation: of the entry
  * @number: rises with each connection of one incarnation
+ * @told: of the worker's room, less what it has started since
+ * @misled: it believes in room that there is not
  */
 struct agt_session
 {
@@ -92,6 +102,8 @@
   int place;
   uint64_t incarnation;
   uint64_t number;
+  lvp_room told;
+  bool misled;
   struct agt_session *prev;
   struct agt_session *next;
 };
@@ -111,6 +123,27 @@
   void (*watch) (struct agt_agent *agent);
 };
 
+/**
+ * struct agt_worker - the worker that an agent keeps
+ * @asked_ns: when the lease was last asked for
+ * @usage_ns: when to ask for its use next
+ * @running: tasks that run there
+ * @turns: which entry may use free room
+ * @tell: what has changed is told once all messages at hand were handled, so
+ * that starts of one entry that came together are one use of its turn
+ */
+struct agt_worker
+{
+  struct lse_lease lease;
+  struct rom_room room;
+  uint64_t asked_ns;
+  uint64_t usage_ns;
+  uint32_t running;
+  struct trn_turns turns;
+  struct tevent_immediate *tell;
+  bool tell_set;
+};
+
 /** struct agt_waiter - a call that is answered when its task ends. */
 struct agt_waiter
 {
@@ -122,6 +155,8 @@
 /**
  * struct agt_run - a task that has started
  * @place: of the entry in the grants, whose running task it is
+ * @ops: of the target it runs at
+ * @need: declared, all 0 at the minion
  * @kind: talloc
  * @payload: talloc
  * @request: towards the target, NULL while held back
@@ -131,6 +166,8 @@
   struct sid_id sid;
   uint32_t index;
   int place;
+  const struct agt_target_ops *ops;
+  struct rom_size need;
   char *kind;
   char *payload;
   size_t payload_len;
@@ -155,6 +192,7 @@
   struct lgt_tail *members;
   struct hcl_client *client;
   const struct agt_target_ops *target;
+  struct agt_worker worker;
   struct agt_session *sessions;
   struct agt_run *running;
   struct agt_run *held;
@@ -229,6 +267,23 @@
 /** agt_member_leave() - append the end of this member. */
 void agt_member_leave (struct agt_agent *a, const char *why);
 
+/** agt_worker_tick() - renew the lease, ask for use, tell entries. */
+void agt_worker_tick (struct agt_agent *a, uint64_t now_ns);
+
+/** agt_worker_room() - what @s may be told; nothing without a usable lease. */
+lvp_room agt_worker_room (const struct agt_session *s);
+
+/** agt_worker_wanted() - the entry of @s has @n tasks that wait for room. */
+void agt_worker_wanted (struct agt_session *s, uint32_t n);
+
+/** agt_worker_claim() - reserve room. Return: false if there is none. */
+bool agt_worker_claim (struct agt_session *s, const struct rom_size *need);
+
+/** agt_worker_release() - give claimed room back. */
+void agt_worker_release (struct agt_agent *a, const struct rom_size *need);
+
+extern const struct agt_target_ops agt_worker_ops;
+
 /** agt_target_find() - "minion" or "null"; NULL if unknown. */
 const struct agt_target_ops *agt_target_find (const char *kind);
 
--- a/src/agent_run.c
+++ b/src/agent_run.c
@@ -25,23 +25,34 @@
   return out;
 }
 
+static bool
+at_worker (const struct agt_run *run)
+{
+  return run->ops == &agt_worker_ops;
+}
+
 static void
 launch (struct agt_run *run)
 {
   struct agt_agent *a = run->agent;
 
   DL_APPEND (a->running, run);
-  a->running_count++;
+  if (at_worker (run))
+    a->worker.running++;
+  else
+    a->running_count++;
   run->started_ns = clk_now ();
   ctr_add (&a->counters, AGT_STARTS, 1);
   if (log_enabled (LOGL_INFO))
     {
       char text[SID_TEXT_MAX];
       sid_format (&run->sid, text);
-      log_line (LOGL_INFO, "start", "sid=%s index=%u kind=%s running=%u", text,
-                run->index, run->kind, a->running_count);
+      log_line (LOGL_INFO, "start",
+                "sid=%s index=%u kind=%s target=%s running=%u", text,
+                run->index, run->kind, run->ops->name,
+                at_worker (run) ? a->worker.running : a->running_count);
     }
-  a->target->start (a, run);
+  run->ops->start (a, run);
 }
 
 void
@@ -54,12 +65,14 @@
   run->sid = wir_to_sid (&call->sid);
   run->index = call->index;
   run->place = call->credited ? s->place : -1;
+  run->need = wir_to_size (&call->need);
+  run->ops = rom_none (&run->need) ? a->target : &agt_worker_ops;
   run->kind = talloc_strdup (run, call->kind);
   run->payload_len = call->payload.lvp_bytes_len;
   run->payload
       = talloc_memdup (run, call->payload.lvp_bytes_val, run->payload_len);
   agt_run_wait (run, s, xid);
-  if (a->running_count < a->set.slots)
+  if (at_worker (run) || a->running_count < a->set.slots)
     {
       launch (run);
       return;
@@ -165,6 +178,12 @@
 
   a->ended_ns = clk_now ();
   DL_DELETE (a->running, run);
+  if (at_worker (run))
+    {
+      a->worker.running--;
+      agt_worker_release (a, &run->need);
+      return;
+    }
   a->running_count--;
   if (run->place >= 0)
     grt_end (&a->grants, (unsigned)run->place);
@@ -212,5 +231,5 @@
 agt_run_stop (struct agt_run *run)
 {
   if (find_in (run->agent->running, &run->sid, run->index) != NULL)
-    run->agent->target->stop (run->agent, run);
+    run->ops->stop (run->agent, run);
 }
--- a/src/agent_session.c
+++ b/src/agent_session.c
@@ -72,6 +72,28 @@
   onc_reply (s->conn, xid, (xdrproc_t)xdr_lvp_outcome, &out);
 }
 
+/* The credit, or the room at the worker, that a start needs.  */
+static bool
+claim (struct agt_session *s, const lvp_start *call)
+{
+  struct rom_size need = wir_to_size (&call->need);
+
+  if (!rom_none (&need))
+    return agt_worker_claim (s, &need);
+  return !call->credited || grt_spend (&s->agent->grants, (unsigned)s->place);
+}
+
+static void
+unclaim (struct agt_session *s, const lvp_start *call)
+{
+  struct rom_size need = wir_to_size (&call->need);
+
+  if (!rom_none (&need))
+    agt_worker_release (s->agent, &need);
+  else if (call->credited)
+    grt_end (&s->agent->grants, (unsigned)s->place);
+}
+
 static void
 admit_start (struct agt_session *s, uint32_t xid, const lvp_start *call)
 {
@@ -80,9 +102,9 @@
   const struct led_task *task = NULL;
   int rc;
 
-  if (call->credited && !grt_spend (&a->grants, (unsigned)s->place))
+  if (!claim (s, call))
     {
-      log_refusal (s, call, "no-credit");
+      log_refusal (s, call, call->credited ? "no-credit" : "no-room");
       send_outcome (s, xid, LVP_BUSY);
       return;
     }
@@ -94,8 +116,7 @@
       agt_run_start (a, s, xid, call);
       return;
     }
-  if (call->credited)
-    grt_end (&a->grants, (unsigned)s->place);
+  unclaim (s, call);
   if (rc == -EALREADY)
     {
       ctr_add (&a->counters, AGT_DUPLICATES, 1);
@@ -172,6 +193,8 @@
   res.slots = (u_int)a->set.slots;
   res.joined = a->ledger.joined;
   res.leaving = a->leaving;
+  s->told = agt_worker_room (s);
+  res.room = s->told;
   onc_reply (s->conn, xid, (xdrproc_t)xdr_lvp_hello_res, &res);
   log_line (LOGL_INFO, "session",
             "entry=%s incarnation=%016" PRIx64 " number=%" PRIu64, call.name,
@@ -200,6 +223,7 @@
     return;
   grt_demand (&a->grants, (unsigned)s->place, call.queued, call.entitled,
               call.urgency);
+  agt_worker_wanted (s, call.work);
   agt_grant (a);
 }
 
@@ -399,7 +423,10 @@
             onc_peer (conn), s->incarnation, err->step, err->detail);
   agt_run_forget (a, s);
   if (s->place >= 0)
-    grt_leave (&a->grants, (unsigned)s->place);
+    {
+      grt_leave (&a->grants, (unsigned)s->place);
+      trn_want (&a->worker.turns, (unsigned)s->place, false, clk_now ());
+    }
   DL_DELETE (a->sessions, s);
   ctr_set_gauge (&a->counters, AGT_SESSIONS,
                  ctr_read (&a->counters, AGT_SESSIONS) - 1);
--- /dev/null
+++ b/src/agent_worker.c
@@ -0,0 +1,317 @@
+#include <errno.h>
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+#include <utlist.h>
+
+#include "agent.h"
+#include "clock.h"
+#include "jsonx.h"
+#include "logline.h"
+#include "wire.h"
+
+#define USAGE_PERIOD_NS (500 * CLK_MS)
+#define USAGE_TIMEOUT_MS 2000L
+#define STOP_TIMEOUT_MS 2000L
+/* Wait after a lease of ours was found to have lapsed.  */
+#define AFRESH_NS (50 * CLK_MS)
+#define HTTP_OK 200
+#define HTTP_CONFLICT 409
+#define HTTP_INTERNAL_ERROR 500
+
+static struct rom_size
+read_size (struct json_object *json)
+{
+  struct rom_size s = {
+    .cores = (uint32_t)jsx_uint (json, "cores", 0),
+    .memory_mb = (uint32_t)jsx_uint (json, "memory_mb", 0),
+    .accelerators = (uint32_t)jsx_uint (json, "accelerators", 0),
+  };
+
+  return s;
+}
+
+static void
+add_size (struct json_object *json, const struct rom_size *s)
+{
+  jsx_add (json, "cores", json_object_new_int64 (s->cores));
+  jsx_add (json, "memory_mb", json_object_new_int64 (s->memory_mb));
+  jsx_add (json, "accelerators", json_object_new_int64 (s->accelerators));
+}
+
+/* POST a JSON object that is given up to this function.  */
+static struct hcl_request *
+post (struct agt_agent *a, const char *method, const char *path,
+      struct json_object *json, long timeout_ms, hcl_done_fn done, void *priv)
+{
+  char *url = talloc_asprintf (a->ev, "%s%s", a->set.worker_url, path);
+  const char *text
+      = json_object_to_json_string_ext (json, JSON_C_TO_STRING_PLAIN);
+  struct hcl_request *r = hcl_send (a->client, method, url, lv_slice_of (text),
+                                    timeout_ms, done, priv);
+
+  json_object_put (json);
+  talloc_free (url);
+  return r;
+}
+
+lvp_room
+agt_worker_room (const struct agt_session *s)
+{
+  const struct agt_agent *a = s->agent;
+  lvp_room room = { { 0, 0, 0 }, { 0, 0, 0 } };
+  struct rom_size left;
+
+  if (a->leaving || s->place < 0 || !lse_usable (&a->worker.lease, clk_now ()))
+    return room;
+  room.total = wir_size (&a->worker.room.total);
+  if (!trn_may (&a->worker.turns, (unsigned)s->place))
+    return room;
+  left = rom_free (&a->worker.room);
+  room.free = wir_size (&left);
+  return room;
+}
+
+static void
+tell (struct tevent_context *ev, struct tevent_immediate *im, void *priv)
+{
+  struct agt_agent *a = priv;
+  struct agt_session *s;
+
+  (void)ev;
+  (void)im;
+  a->worker.tell_set = false;
+  trn_tick (&a->worker.turns, clk_now ());
+  DL_FOREACH (a->sessions, s)
+  {
+    lvp_room room = agt_worker_room (s);
+    if (s->place < 0
+        || (!s->misled && memcmp (&room, &s->told, sizeof room) == 0))
+      continue;
+    s->told = room;
+    s->misled = false;
+    onc_call (s->conn, LVP_ROOM, (xdrproc_t)xdr_lvp_room, &room, NULL, NULL);
+  }
+}
+
+static void
+tell_soon (struct agt_agent *a)
+{
+  struct agt_worker *w = &a->worker;
+
+  if (w->tell_set)
+    return;
+  if (w->tell == NULL)
+    w->tell = tevent_create_immediate (a->ev);
+  w->tell_set = true;
+  tevent_schedule_immediate (w->tell, a->ev, tell, a);
+}
+
+void
+agt_worker_wanted (struct agt_session *s, uint32_t n)
+{
+  struct agt_agent *a = s->agent;
+
+  trn_want (&a->worker.turns, (unsigned)s->place, n > 0, clk_now ());
+  tell_soon (a);
+}
+
+static void
+lease_granted (struct agt_agent *a, struct json_object *json)
+{
+  struct agt_worker *w = &a->worker;
+  uint64_t epoch = jsx_uint (json, "epoch", 0);
+  struct rom_size total = read_size (json);
+
+  if (epoch != w->lease.epoch)
+    log_line (LOGL_INFO, "lease",
+              "worker=%s epoch=%" PRIu64 " cores=%u memory_mb=%u "
+              "accelerators=%u",
+              a->set.worker_url, epoch, total.cores, total.memory_mb,
+              total.accelerators);
+  if (rom_none (&w->room.total))
+    rom_init (&w->room, &total, clk_now ());
+  /* What ran under a lapsed lease is released as its requests end.  */
+  w->room.total = total;
+  lse_granted (&w->lease, epoch, w->asked_ns,
+               jsx_uint (json, "ttl_ms", 0) * CLK_MS);
+}
+
+static void
+lease_refused (struct agt_agent *a, struct json_object *json)
+{
+  uint64_t left_ns = jsx_uint (json, "left_ms", 0) * CLK_MS;
+
+  log_line (LOGL_WARN, "lease-refused",
+            "worker=%s holder=%s left_ms=%" PRIu64 " lost_epoch=%" PRIu64,
+            a->set.worker_url, jsx_string (json, "holder", "-"),
+            (uint64_t)(left_ns / CLK_MS), a->worker.lease.epoch);
+  lse_refused (&a->worker.lease, clk_now (), left_ns + AFRESH_NS);
+}
+
+static void
+lease_answered (int err, long status, struct lv_slice body, void *priv)
+{
+  struct agt_agent *a = priv;
+  struct json_object *json = err == 0 ? jsx_parse (body) : NULL;
+
+  if (err == 0 && status == HTTP_OK)
+    lease_granted (a, json);
+  else if (err == 0 && status == HTTP_CONFLICT)
+    lease_refused (a, json);
+  json_object_put (json);
+  tell_soon (a);
+}
+
+static void
+ask_lease (struct agt_agent *a, uint64_t now_ns)
+{
+  struct agt_worker *w = &a->worker;
+  struct json_object *json = json_object_new_object ();
+  char holder[ROS_NAME_MAX + 32];
+
+  snprintf (holder, sizeof holder, "%s/%016" PRIx64, a->set.name,
+            a->incarnation);
+  w->asked_ns = now_ns;
+  lse_asking (&w->lease, now_ns,
+              a->set.worker_lease_ms * CLK_MS / LSE_RENEWALS);
+  jsx_add (json, "holder", json_object_new_string (holder));
+  jsx_add (json, "epoch", json_object_new_int64 ((int64_t)w->lease.epoch));
+  jsx_add (json, "ttl_ms",
+           json_object_new_int64 ((int64_t)a->set.worker_lease_ms));
+  /* No answer outlives the next question, so each meets its own time.  */
+  post (a, "POST", "/lease", json,
+        (long)(a->set.worker_lease_ms / LSE_RENEWALS), lease_answered, a);
+}
+
+static void
+usage_answered (int err, long status, struct lv_slice body, void *priv)
+{
+  struct agt_agent *a = priv;
+  struct json_object *json = err == 0 ? jsx_parse (body) : NULL;
+  struct rom_size used = read_size (json);
+  uint64_t age_ns = jsx_uint (json, "age_ms", 0) * CLK_MS;
+
+  json_object_put (json);
+  if (err != 0 || status != HTTP_OK)
+    return;
+  rom_report (&a->worker.room, &used, clk_since (clk_now (), age_ns));
+  tell_soon (a);
+}
+
+static void
+ask_usage (struct agt_agent *a, uint64_t now_ns)
+{
+  struct lv_slice none = { NULL, 0 };
+  char *url = talloc_asprintf (a->ev, "%s/usage", a->set.worker_url);
+
+  a->worker.usage_ns = now_ns + USAGE_PERIOD_NS;
+  hcl_send (a->client, "GET", url, none, USAGE_TIMEOUT_MS, usage_answered, a);
+  talloc_free (url);
+}
+
+void
+agt_worker_tick (struct agt_agent *a, uint64_t now_ns)
+{
+  struct agt_worker *w = &a->worker;
+
+  if (a->set.worker_url == NULL || (a->leaving && w->running == 0))
+    return;
+  if (lse_due (&w->lease, now_ns))
+    ask_lease (a, now_ns);
+  if (w->running > 0 && now_ns >= w->usage_ns)
+    ask_usage (a, now_ns);
+  else if (w->running == 0)
+    memset (&w->room.excess, 0, sizeof w->room.excess);
+  tell_soon (a);
+}
+
+/* An entry subtracts what it starts from what it was told; it needs no message
+   for that, unless it believed otherwise.  */
+bool
+agt_worker_claim (struct agt_session *s, const struct rom_size *need)
+{
+  struct agt_agent *a = s->agent;
+  struct agt_worker *w = &a->worker;
+  uint64_t now = clk_now ();
+  struct rom_size believed;
+
+  if (!lse_usable (&w->lease, now) || !rom_reserve (&w->room, need, now))
+    {
+      s->misled = true;
+      tell_soon (a);
+      return false;
+    }
+  believed = wir_to_size (&s->told.free);
+  rom_take (&believed, need);
+  s->told.free = wir_size (&believed);
+  trn_used (&w->turns, (unsigned)s->place);
+  tell_soon (a);
+  return true;
+}
+
+void
+agt_worker_release (struct agt_agent *a, const struct rom_size *need)
+{
+  rom_release (&a->worker.room, need, clk_now ());
+  tell_soon (a);
+}
+
+static struct json_object *
+name_task (const struct agt_run *run)
+{
+  char sid[SID_TEXT_MAX];
+  struct json_object *json = json_object_new_object ();
+
+  sid_format (&run->sid, sid);
+  jsx_add (json, "submission", json_object_new_string (sid));
+  jsx_add (json, "index", json_object_new_int64 (run->index));
+  return json;
+}
+
+static void
+worker_stop (struct agt_agent *a, struct agt_run *run)
+{
+  post (a, "POST", "/stop", name_task (run), STOP_TIMEOUT_MS, NULL, NULL);
+}
+
+static void
+task_answered (int err, long status, struct lv_slice body, void *priv)
+{
+  struct agt_run *run = priv;
+  struct agt_agent *a = run->agent;
+
+  run->request = NULL;
+  if (err == -ECONNREFUSED || (err == 0 && status == HTTP_CONFLICT))
+    agt_run_unstarted (run);
+  else if (err == 0 && status == HTTP_OK)
+    agt_run_ended (run, LED_SUCCEEDED, body);
+  else if (err == 0 && status == HTTP_INTERNAL_ERROR)
+    agt_run_ended (run, LED_FAILED, body);
+  else
+    {
+      /* Stopped with its lease, or silent: it must not go on unwatched.  */
+      worker_stop (a, run);
+      agt_run_ended (run, LED_LOST, body);
+    }
+}
+
+static void
+worker_start (struct agt_agent *a, struct agt_run *run)
+{
+  struct json_object *json = name_task (run);
+  struct lv_slice payload = { run->payload, run->payload_len };
+
+  jsx_add (json, "epoch",
+           json_object_new_int64 ((int64_t)a->worker.lease.epoch));
+  jsx_add (json, "kind", json_object_new_string (run->kind));
+  add_size (json, &run->need);
+  jsx_add (json, "payload", jsx_parse (payload));
+  run->request = post (a, "ONCE", "/tasks", json, (long)a->set.task_limit_ms,
+                       task_answered, run);
+}
+
+const struct agt_target_ops agt_worker_ops
+    = { "worker", worker_start, worker_stop, NULL };
--- a/src/entry.c
+++ b/src/entry.c
@@ -159,6 +159,7 @@
   view->leaving = e->leaving;
   rcu_assign_pointer (e->view, view);
   que_reweigh (&e->queue);
+  que_reweigh (&e->worker_queue);
   if (old == NULL)
     return;
   synchronize_rcu ();
@@ -171,14 +172,17 @@
 {
   const struct ent_link *link;
   double slots = 0;
+  double cores = 0;
 
   DL_FOREACH (e->links, link)
   {
     if (ent_link_ready (link) && !link->leaving
         && link->health.state == HLT_FIT)
       slots += link->slots;
+    cores += link->room_total.cores;
   }
   e->queue.slots = slots > 0 ? slots / ent_entries (e) : 1;
+  e->worker_queue.slots = cores > 0 ? cores / ent_entries (e) : 1;
 }
 
 static void
@@ -193,7 +197,7 @@
     in_flight += link->sent;
     up += ent_link_ready (link);
   }
-  ctr_set_gauge (&e->counters, ENT_QUEUED, e->queue.count);
+  ctr_set_gauge (&e->counters, ENT_QUEUED, ent_waiting (e));
   ctr_set_gauge (&e->counters, ENT_IN_FLIGHT, in_flight);
   ctr_set_gauge (&e->counters, ENT_RECORDS, HASH_COUNT (e->records));
   ctr_set_gauge (&e->counters, ENT_RECORD_BYTES, e->record_bytes);
@@ -322,6 +326,14 @@
   return 0;
 }
 
+static void
+init_queue (struct ent_entry *e, struct que_queue *q)
+{
+  que_init (q, e->ev, que_order_find (e->set.order));
+  q->weight_of = ent_weight;
+  q->weight_priv = e;
+}
+
 int
 ent_start (struct ent_entry *e, struct tevent_context *ev,
            const struct ent_settings *settings, struct err_error *err)
@@ -339,9 +351,8 @@
   ros_init (&e->roster, ev);
   rvs_init (&e->rules, ev);
   est_init (&e->estimates, ev);
-  que_init (&e->queue, ev, que_order_find (e->set.order));
-  e->queue.weight_of = ent_weight;
-  e->queue.weight_priv = e;
+  init_queue (e, &e->queue);
+  init_queue (e, &e->worker_queue);
   e->pump = tevent_create_immediate (ev);
   e->client = hcl_new (ev, ev, LOG_CONNECTIONS);
   ent_publish_view (e);
@@ -365,7 +376,7 @@
   e->leaving = true;
   e->leaving_ns = clk_now ();
   log_line (LOGL_INFO, "leaving", "open=%u queued=%zu", e->open_records,
-            e->queue.count);
+            ent_waiting (e));
   ent_publish_view (e);
   ent_log_leave (e);
 }
--- a/src/entry.h
+++ b/src/entry.h
@@ -10,6 +10,7 @@
  *   entry_admit.c    refuse early what cannot or may not run
  *   entry_record.c   submissions on record, and their answers
  *   entry_dispatch.c queue, decide, send, collect
+ *   entry_worker.c   tasks that need a worker: their queue and placement
  *   entry_link.c     connections to agents, credits, reconciling
  *   entry_peer.c     connections to other entries: forwarding, doubt
  *   entry_guest.c    what other entries ask of this one
@@ -199,7 +200,8 @@
   bool hello;
   bool dead; /* another incarnation answers at its address */
   bool leaving;
-  bool near; /* in this entry's failure domain */
+  bool near;    /* in this entry's failure domain */
+  bool greeted; /* it has answered a hello once */
   uint64_t session;
   uint32_t slots;
   uint32_t credits;
@@ -211,7 +213,12 @@
   uint64_t demand_ns;
   uint32_t demand;
   uint32_t entitled;
+  uint32_t work; /* as told, tasks that wait for workers */
   struct hlt_target health;
+  struct hlt_target worker_health;
+  struct rom_size worker_size; /* of the worker it keeps, as last known */
+  struct rom_size room_total;  /* nothing while it holds no lease */
+  struct rom_size room_free;
   struct ent_call *cut;
   struct ent_link *prev;
   struct ent_link *next;
@@ -262,7 +269,9 @@
   uint64_t next_state_ns;
   uint64_t next_sync_ns;
 
-  struct que_queue queue;
+  struct que_queue queue;        /* waits for slots of minions */
+  struct que_queue worker_queue; /* waits for room at workers */
+  struct que_item *worker_head;  /* its turn has come, room has not */
   struct est_table estimates;
   const struct plc_policy *policy;
   struct ent_link *links;
@@ -271,6 +280,7 @@
   struct ent_link **target_links;
   uint32_t target_cap;
   struct hlt_fleet fleet;
+  struct hlt_fleet worker_fleet;
   struct ent_usage *usage;
   bool pump_set;
   struct tevent_immediate *pump;
@@ -384,11 +394,40 @@
 void ent_found (struct ent_record *rec, uint32_t i, uint64_t incarnation);
 /** ent_resolve() - ask the target of @call what became of its task. */
 void ent_resolve (struct ent_call *call);
+/** ent_start_at() - send a task that was taken from its queue. */
+void ent_start_at (struct ent_link *link, struct ent_task *task,
+                   uint64_t now_ns);
+/**
+ * ent_usable() - may the submission of @task start at @link at all, and is the
+ * target whose health is @health fit for work?
+ */
+bool ent_usable (const struct ent_link *link, const struct hlt_target *health,
+                 const struct ent_task *task, uint64_t now_ns);
+/** ent_waiting() - tasks that wait, for slots or for workers. */
+size_t ent_waiting (const struct ent_entry *e);
 /** ent_cancel() - stop all that @rec has queued or running. */
 void ent_cancel (struct ent_record *rec);
 /** ent_call_gave_up() - the outcome of @call will not be known. */
 void ent_call_gave_up (struct ent_call *call, const char *why);
 
+/* entry_worker.c */
+
+/** ent_needs_worker() - whether @t declares resources. */
+bool ent_needs_worker (const struct req_task *t);
+/** ent_queue() - the queue in which @t waits. */
+struct que_queue *ent_queue (struct ent_entry *e, const struct req_task *t);
+/** ent_worker_admit() - could any worker hold task @i? */
+bool ent_worker_admit (const struct ent_entry *e, const struct req_request *r,
+                       uint32_t i, struct req_refusal *why);
+/** ent_worker_room() - an agent tells the room of the worker it keeps. */
+void ent_worker_room (struct ent_link *link, const lvp_room *room);
+/** ent_worker_lost() - the agent can't be reached. */
+void ent_worker_lost (struct ent_link *link);
+/** ent_unqueue() - take a task out of its queue, if it waits. */
+void ent_unqueue (struct ent_entry *e, struct ent_task *task);
+/** ent_worker_pump() - send what fits. */
+void ent_worker_pump (struct ent_entry *e, uint64_t now_ns);
+
 /* entry_link.c */
 
 /** ent_link_add() - an agent joined. */
--- a/src/entry_admit.c
+++ b/src/entry_admit.c
@@ -142,19 +142,12 @@
 
 /* Minions give slots; a task that declares resources needs a worker.  */
 static bool
-targets_can_hold (const struct req_request *r, struct req_refusal *why)
+targets_can_hold (const struct ent_entry *e, const struct req_request *r,
+                  struct req_refusal *why)
 {
   for (uint32_t i = 0; i < r->count; i++)
-    {
-      const struct req_task *t = &r->tasks[i];
-      if (t->cores == 0 && t->memory_mb == 0 && t->accelerators == 0)
-        continue;
-      req_refuse (why, 422, "no_target", "admit", true,
-                  "task %u needs %u cores, %u MB, %u accelerators; no worker "
-                  "takes part here",
-                  i, t->cores, t->memory_mb, t->accelerators);
+    if (ent_needs_worker (&r->tasks[i]) && !ent_worker_admit (e, r, i, why))
       return false;
-    }
   return true;
 }
 
@@ -170,11 +163,13 @@
     req_refuse (why, 503, "records_full", "admit", true,
                 "%zu bytes of submissions are on record, at most %" PRIu64,
                 e->record_bytes, e->set.record_bytes);
-  else if (e->queue.count + r->count > e->set.queue_tasks)
+  else if (ent_waiting (e) + r->count > e->set.queue_tasks)
     req_refuse (why, 429, "queue_full", "admit", true,
-                "%zu tasks wait, at most %" PRIu64, e->queue.count,
+                "%zu tasks wait, at most %" PRIu64, ent_waiting (e),
                 e->set.queue_tasks);
-  else if (que_team_count (&e->queue, team) + r->count > most)
+  else if (que_team_count (&e->queue, team)
+               + que_team_count (&e->worker_queue, team) + r->count
+           > most)
     req_refuse (why, 429, "team_queue_full", "admit", true,
                 "the rules let team %.64s have %u tasks waiting", r->team,
                 most);
@@ -199,15 +194,15 @@
 }
 
 static uint64_t
-expected_wait_ms (const struct ent_entry *e, const struct req_request *r)
+expected_wait_ms (struct ent_entry *e, const struct req_request *r)
 {
-  return que_wait_ns (&e->queue, lv_slice_of (r->team), r->urgency,
-                      lv_slice_of (r->tasks[0].kind))
+  return que_wait_ns (ent_queue (e, &r->tasks[0]), lv_slice_of (r->team),
+                      r->urgency, lv_slice_of (r->tasks[0].kind))
          / CLK_MS;
 }
 
 static bool
-starts_in_time (const struct ent_entry *e, const struct req_request *r,
+starts_in_time (struct ent_entry *e, const struct req_request *r,
                 struct req_refusal *why)
 {
   uint64_t wait = expected_wait_ms (e, r);
@@ -234,7 +229,7 @@
       return false;
     }
   return known_names (e, r, why) && rules_allow (e, r, why)
-         && targets_can_hold (r, why) && room_in_queue (e, r, why)
+         && targets_can_hold (e, r, why) && room_in_queue (e, r, why)
          && starts_in_time (e, r, why);
 }
 
--- a/src/entry_dispatch.c
+++ b/src/entry_dispatch.c
@@ -28,8 +28,10 @@
 
   if (!sub_may_send (&rec->core, i) || t->item.flow != NULL)
     return;
-  que_push (&e->queue, &t->item, team_of (rec), rec->body->urgency, kind,
-            est_mean (&e->estimates, kind), spread_ns, clk_now ());
+  t->item.slots = t->spec->cores;
+  que_push (ent_queue (e, t->spec), &t->item, team_of (rec),
+            rec->body->urgency, kind, est_mean (&e->estimates, kind),
+            spread_ns, clk_now ());
 }
 
 static void
@@ -39,19 +41,22 @@
   struct ent_entry *e = rec->entry;
   struct lv_slice kind = lv_slice_of (task->spec->kind);
   bool succeeded = out->status == LVP_OK;
+  bool worker = ent_needs_worker (task->spec);
+  struct hlt_target *health
+      = worker ? &call->link->worker_health : &call->link->health;
 
   if (out->status != LVP_OK && out->status != LVP_TASK_FAILED)
     return;
   est_observe (&e->estimates, kind, out->run_ns, succeeded);
-  if (!hlt_observe (&e->fleet, &call->link->health, succeeded,
+  if (!hlt_observe (worker ? &e->worker_fleet : &e->fleet, health, succeeded,
                     est_failure_rate (&e->estimates, kind), clk_now ()))
     return;
-  ctr_add (&e->counters, ENT_EJECTIONS,
-           call->link->health.state == HLT_EJECTED);
-  log_line (LOGL_WARN, "health", "agent=%s state=%s kind=%s blame=%.2f",
-            call->link->member->name,
-            call->link->health.state == HLT_EJECTED ? "ejected" : "fit",
-            task->spec->kind, call->link->health.blame);
+  ctr_add (&e->counters, ENT_EJECTIONS, health->state == HLT_EJECTED);
+  log_line (LOGL_WARN, "health",
+            "agent=%s target=%s state=%s kind=%s blame=%.2f",
+            call->link->member->name, worker ? "worker" : "minion",
+            health->state == HLT_EJECTED ? "ejected" : "fit", task->spec->kind,
+            health->blame);
 }
 
 /* A task that was sent runs, or waits, at its target no more.  */
@@ -59,14 +64,15 @@
 release (const struct ent_call *call, const struct ent_record *rec)
 {
   struct ent_entry *e = rec->entry;
-  struct lv_slice kind = lv_slice_of (rec->tasks[call->index].spec->kind);
+  const struct ent_task *task = &rec->tasks[call->index];
+  struct lv_slice kind = lv_slice_of (task->spec->kind);
 
   if (call->cancel)
     return;
   ent_usage_add (e, team_of (rec), kind, -1);
   if (!call->found)
-    que_done (&e->queue, team_of (rec), rec->body->urgency, kind, 1,
-              clk_now ());
+    que_done (ent_queue (e, task->spec), team_of (rec), rec->body->urgency,
+              kind, task->item.slots, clk_now ());
 }
 
 static enum sub_outcome
@@ -281,20 +287,22 @@
   if (!log_enabled (LOGL_INFO))
     return;
   sid_format (&rec->sid, id);
-  log_line (LOGL_INFO, "place",
-            "sid=%s index=%u team=%s urgency=%s kind=%s agent=%s domain=%s "
-            "policy=%s credits=%u sent=%u load=%u queued=%zu waited_ms=%.3f "
-            "expected_ms=%.1f",
-            id, task->index, rec->body->team,
-            req_urgency_name (rec->body->urgency), task->spec->kind,
-            link->member->name, link->member->domain, rec->entry->policy->name,
-            link->credits, link->sent, link->load, rec->entry->queue.count,
-            (double)waited_ns / CLK_MS,
-            (double)task->item.estimate_ns / CLK_MS);
+  log_line (
+      LOGL_INFO, "place",
+      "sid=%s index=%u team=%s urgency=%s kind=%s agent=%s domain=%s "
+      "policy=%s credits=%u sent=%u load=%u need=%u,%u,%u "
+      "free=%u,%u,%u queued=%zu waited_ms=%.3f expected_ms=%.1f",
+      id, task->index, rec->body->team, req_urgency_name (rec->body->urgency),
+      task->spec->kind, link->member->name, link->member->domain,
+      rec->entry->policy->name, link->credits, link->sent, link->load,
+      task->spec->cores, task->spec->memory_mb, task->spec->accelerators,
+      link->room_free.cores, link->room_free.memory_mb,
+      link->room_free.accelerators, ent_waiting (rec->entry),
+      (double)waited_ns / CLK_MS, (double)task->item.estimate_ns / CLK_MS);
 }
 
-static void
-start_at (struct ent_link *link, struct ent_task *task, uint64_t now_ns)
+void
+ent_start_at (struct ent_link *link, struct ent_task *task, uint64_t now_ns)
 {
   struct ent_entry *e = link->entry;
   struct ent_record *rec = task->record;
@@ -306,7 +314,10 @@
   msg.sid = wir_sid (&rec->sid);
   msg.ballot = rec->ballot;
   msg.index = task->index;
-  msg.credited = e->policy->credited;
+  msg.credited = e->policy->credited && !ent_needs_worker (task->spec);
+  msg.need.cores = task->spec->cores;
+  msg.need.memory_mb = task->spec->memory_mb;
+  msg.need.accelerators = task->spec->accelerators;
   msg.kind = task->spec->kind;
   msg.payload = wir_bytes (payload);
   if (msg.credited)
@@ -314,7 +325,8 @@
   sub_sent (&rec->core, task->index, link->member->incarnation);
   rec->progress_ns = now_ns;
   ent_usage_add (e, team_of (rec), lv_slice_of (task->spec->kind), 1);
-  hlt_probe (&link->health);
+  hlt_probe (ent_needs_worker (task->spec) ? &link->worker_health
+                                           : &link->health);
   ctr_add (&e->counters, ENT_STARTS, 1);
   log_place (link, task, clk_since (now_ns, task->item.stamp_ns));
   if (onc_call (link->conn, LVP_START, (xdrproc_t)xdr_lvp_start, &msg,
@@ -337,14 +349,19 @@
          != NULL;
 }
 
-/* May TASK's submission start at LINK at all, and is LINK fit for work?  */
-static bool
-usable (const struct ent_entry *e, const struct ent_link *link,
-        const struct ent_task *task, uint64_t now_ns)
+bool
+ent_usable (const struct ent_link *link, const struct hlt_target *health,
+            const struct ent_task *task, uint64_t now_ns)
 {
   return ent_link_ready (link) && !link->leaving
          && ros_in_force (link->member, task->record->sid.roster)
-         && hlt_usable (&link->health, now_ns) && !drained (e, link);
+         && hlt_usable (health, now_ns) && !drained (link->entry, link);
+}
+
+size_t
+ent_waiting (const struct ent_entry *e)
+{
+  return e->queue.count + e->worker_queue.count;
 }
 
 static void
@@ -371,7 +388,7 @@
   {
     struct plc_target *t = &e->targets[n];
     e->target_links[n++] = link;
-    t->usable = usable (e, link, task, now_ns);
+    t->usable = ent_usable (link, &link->health, task, now_ns);
     t->near = link->near;
     t->credits = link->credits;
     t->sent = link->sent;
@@ -422,8 +439,9 @@
       if (link == NULL)
         break;
       que_take (&e->queue, item, now);
-      start_at (link, task, now);
+      ent_start_at (link, task, now);
     }
+  ent_worker_pump (e, now);
   ent_link_demand (e, (uint32_t)e->queue.count, now);
 }
 
--- a/src/entry_intake.c
+++ b/src/entry_intake.c
@@ -265,7 +265,7 @@
   jsx_add (json, "roster", json_object_new_int64 ((int64_t)e->roster.offset));
   jsx_add (json, "log_reachable",
            json_object_new_boolean (lgt_reachable (e->members)));
-  jsx_add (json, "queued", json_object_new_int64 ((int64_t)e->queue.count));
+  jsx_add (json, "queued", json_object_new_int64 ((int64_t)ent_waiting (e)));
   jsx_add (json, "open", json_object_new_int ((int)e->open_records));
   jsx_add (json, "entries", entries);
   jsx_add (json, "agents", agents);
--- a/src/entry_link.c
+++ b/src/entry_link.c
@@ -45,9 +45,16 @@
          void *priv)
 {
   struct ent_link *link = priv;
+  lvp_room room;
   int change = 0;
 
   (void)xid;
+  if (proc == LVP_ROOM && xdr_lvp_room (args, &room))
+    {
+      ent_worker_room (link, &room);
+      ent_pump (link->entry);
+      return;
+    }
   if (proc != LVP_GRANT || !xdr_int (args, &change))
     {
       onc_close (conn, -EPROTO, "unknown procedure");
@@ -73,6 +80,7 @@
   link->conn = NULL;
   link->hello = false;
   link->credits = 0;
+  ent_worker_lost (link);
   link->retry_ns = clk_now () + RETRY_NS;
   if (link->lost_ns == 0)
     link->lost_ns = clk_now ();
@@ -124,6 +132,8 @@
   else
     {
       link->hello = true;
+      link->greeted = true;
+      ent_worker_room (link, &hello.room);
       link->lost_ns = 0;
       link->slots = hello.slots;
       link->leaving = hello.leaving;
@@ -215,6 +225,8 @@
   struct ent_entry *e = link->entry;
 
   hlt_remove (&e->fleet, &link->health);
+  if (!rom_none (&link->worker_size))
+    hlt_remove (&e->worker_fleet, &link->worker_health);
   link->member->priv = NULL;
   DL_DELETE (e->links, link);
   e->link_count--;
@@ -250,11 +262,13 @@
   beat.queued = queued;
   beat.entitled = (u_int)que_entitled (&e->queue, now_ns);
   beat.urgency = que_most_urgent (&e->queue);
+  beat.work = (u_int)e->worker_queue.count;
   beat.roster = e->roster.offset;
   beat.rules = e->force_version;
   link->beat_ns = now_ns;
   link->demand = queued;
   link->entitled = beat.entitled;
+  link->work = beat.work;
   onc_call (link->conn, LVP_BEAT, (xdrproc_t)xdr_lvp_beat, &beat, on_beat,
             link);
 }
@@ -341,16 +355,18 @@
 {
   uint32_t entitled
       = queued > 0 ? (uint32_t)que_entitled (&e->queue, now_ns) : 0;
+  size_t work = e->worker_queue.count;
   struct ent_link *link;
 
-  if (!e->policy->credited)
-    return;
   DL_FOREACH (e->links, link)
   {
-    bool grown = queued > link->demand * 2
-                 || (queued > 0) != (link->demand > 0)
-                 || entitled > link->entitled;
-    if (!ent_link_ready (link) || link->leaving || !grown
+    bool grown
+        = e->policy->credited
+          && (queued > link->demand * 2 || (queued > 0) != (link->demand > 0)
+              || entitled > link->entitled);
+    bool work_changed
+        = !rom_none (&link->worker_size) && (work > 0) != (link->work > 0);
+    if (!ent_link_ready (link) || link->leaving || !(grown || work_changed)
         || clk_since (now_ns, link->demand_ns) < DEMAND_GAP_NS)
       continue;
     link->demand_ns = now_ns;
--- a/src/entry_record.c
+++ b/src/entry_record.c
@@ -219,7 +219,7 @@
 unqueue (struct ent_record *rec)
 {
   for (uint32_t i = 0; i < rec->core.count; i++)
-    que_remove (&rec->entry->queue, &rec->tasks[i].item);
+    ent_unqueue (rec->entry, &rec->tasks[i]);
 }
 
 void
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -66,7 +66,8 @@
       curl_easy_getinfo (msg->easy_handle, CURLINFO_RESPONSE_CODE, &status);
       body.data = r->answer;
       body.len = r->answer_len;
-      r->done (err, status, body, r->priv);
+      if (r->done != NULL)
+        r->done (err, status, body, r->priv);
       talloc_free (r);
     }
 }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -37,7 +37,7 @@
  * @url: whole URL, by IP number
  * @body: copied; empty for none
  * @timeout_ms: whole time allowed, 0 for none
- * @done: called once, unless the request is cancelled
+ * @done: called once, unless the request is cancelled; may be NULL
  * @priv: for @done
  *
  * Return: the request, valid until @done is called, or NULL without memory.
--- a/src/lvproto.h
+++ b/src/lvproto.h
@@ -34,6 +34,19 @@
 };
 typedef struct lvp_sid lvp_sid;
 
+struct lvp_size {
+	u_int cores;
+	u_int memory_mb;
+	u_int accelerators;
+};
+typedef struct lvp_size lvp_size;
+
+struct lvp_room {
+	lvp_size total;
+	lvp_size free;
+};
+typedef struct lvp_room lvp_room;
+
 enum lvp_role {
 	LVP_ENTRY = 1,
 	LVP_AGENT = 2,
@@ -57,6 +70,7 @@
 	u_int slots;
 	u_quad_t joined;
 	bool_t leaving;
+	lvp_room room;
 };
 typedef struct lvp_hello_res lvp_hello_res;
 
@@ -64,6 +78,7 @@
 	u_int queued;
 	u_int entitled;
 	u_int urgency;
+	u_int work;
 	u_quad_t roster;
 	u_quad_t rules;
 };
@@ -82,6 +97,7 @@
 	u_int index;
 	bool_t credited;
 	lvp_name kind;
+	lvp_size need;
 	lvp_bytes payload;
 };
 typedef struct lvp_start lvp_start;
@@ -230,6 +246,9 @@
 #define LVP_SYNC 10
 extern  lvp_sync_res * lvp_sync_1(u_quad_t , CLIENT *);
 extern  lvp_sync_res * lvp_sync_1_svc(u_quad_t , struct svc_req *);
+#define LVP_ROOM 11
+extern  void * lvp_room_1(lvp_room , CLIENT *);
+extern  void * lvp_room_1_svc(lvp_room , struct svc_req *);
 extern int lvp_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -263,6 +282,9 @@
 #define LVP_SYNC 10
 extern  lvp_sync_res * lvp_sync_1();
 extern  lvp_sync_res * lvp_sync_1_svc();
+#define LVP_ROOM 11
+extern  void * lvp_room_1();
+extern  void * lvp_room_1_svc();
 extern int lvp_prog_1_freeresult ();
 #endif /* K&R C */
 
@@ -272,6 +294,8 @@
 extern  bool_t xdr_lvp_bytes (XDR *, lvp_bytes*);
 extern  bool_t xdr_lvp_name (XDR *, lvp_name*);
 extern  bool_t xdr_lvp_sid (XDR *, lvp_sid*);
+extern  bool_t xdr_lvp_size (XDR *, lvp_size*);
+extern  bool_t xdr_lvp_room (XDR *, lvp_room*);
 extern  bool_t xdr_lvp_role (XDR *, lvp_role*);
 extern  bool_t xdr_lvp_hello (XDR *, lvp_hello*);
 extern  bool_t xdr_lvp_hello_res (XDR *, lvp_hello_res*);
@@ -296,6 +320,8 @@
 extern bool_t xdr_lvp_bytes ();
 extern bool_t xdr_lvp_name ();
 extern bool_t xdr_lvp_sid ();
+extern bool_t xdr_lvp_size ();
+extern bool_t xdr_lvp_room ();
 extern bool_t xdr_lvp_role ();
 extern bool_t xdr_lvp_hello ();
 extern bool_t xdr_lvp_hello_res ();
--- a/src/lvproto_xdr.c
+++ b/src/lvproto_xdr.c
@@ -45,6 +45,32 @@
 	return TRUE;
 }
 
+bool_t
+xdr_lvp_size (XDR *xdrs, lvp_size *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->cores))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->memory_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->accelerators))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lvp_room (XDR *xdrs, lvp_room *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lvp_size (xdrs, &objp->total))
+		 return FALSE;
+	 if (!xdr_lvp_size (xdrs, &objp->free))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_lvp_role (XDR *xdrs, lvp_role *objp)
 {
@@ -90,6 +116,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->leaving))
 		 return FALSE;
+	 if (!xdr_lvp_room (xdrs, &objp->room))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -100,7 +128,7 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->queued))
 				 return FALSE;
@@ -108,11 +136,14 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->urgency))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->work))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->queued);
 		IXDR_PUT_U_LONG(buf, objp->entitled);
 		IXDR_PUT_U_LONG(buf, objp->urgency);
+		IXDR_PUT_U_LONG(buf, objp->work);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->roster))
 			 return FALSE;
@@ -120,7 +151,7 @@
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->queued))
 				 return FALSE;
@@ -128,11 +159,14 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->urgency))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->work))
+				 return FALSE;
 
 		} else {
 		objp->queued = IXDR_GET_U_LONG(buf);
 		objp->entitled = IXDR_GET_U_LONG(buf);
 		objp->urgency = IXDR_GET_U_LONG(buf);
+		objp->work = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->roster))
 			 return FALSE;
@@ -147,6 +181,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->urgency))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->work))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->roster))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->rules))
@@ -183,6 +219,8 @@
 		 return FALSE;
 	 if (!xdr_lvp_name (xdrs, &objp->kind))
 		 return FALSE;
+	 if (!xdr_lvp_size (xdrs, &objp->need))
+		 return FALSE;
 	 if (!xdr_lvp_bytes (xdrs, &objp->payload))
 		 return FALSE;
 	return TRUE;
--- a/src/placement.c
+++ b/src/placement.c
@@ -98,6 +98,18 @@
   return best;
 }
 
+bool
+plc_worker_better (const struct plc_worker *a, const struct plc_worker *b)
+{
+  if (a->near != b->near)
+    return a->near;
+  if (a->free.accelerators != b->free.accelerators)
+    return a->free.accelerators < b->free.accelerators;
+  if (a->free.cores != b->free.cores)
+    return a->free.cores < b->free.cores;
+  return a->free.memory_mb < b->free.memory_mb;
+}
+
 static const struct plc_policy policies[] = {
   { "credit", true, choose_credit },
   { "random", false, choose_random },
--- /dev/null
+++ b/src/turn.c
@@ -0,0 +1,57 @@
+#include "lagoonvale/turn.h"
+
+static unsigned
+count_waiting (const struct trn_turns *t)
+{
+  unsigned n = 0;
+
+  for (unsigned i = 0; i < TRN_PLACES_MAX; i++)
+    n += t->waits[i];
+  return n;
+}
+
+/* To the next that waits, the holder itself last.  */
+static void
+pass_on (struct trn_turns *t, uint64_t now_ns)
+{
+  t->since_ns = now_ns;
+  t->used = false;
+  for (unsigned i = 1; i <= TRN_PLACES_MAX; i++)
+    {
+      unsigned next = (t->holder + i) % TRN_PLACES_MAX;
+      if (!t->waits[next])
+        continue;
+      t->holder = next;
+      return;
+    }
+}
+
+void
+trn_want (struct trn_turns *t, unsigned place, bool waits, uint64_t now_ns)
+{
+  t->waits[place] = waits;
+  if (!t->waits[t->holder])
+    pass_on (t, now_ns);
+}
+
+void
+trn_used (struct trn_turns *t, unsigned place)
+{
+  t->used = t->used || place == t->holder;
+}
+
+void
+trn_tick (struct trn_turns *t, uint64_t now_ns)
+{
+  if (t->used || now_ns >= t->since_ns + TRN_HOLD_NS)
+    pass_on (t, now_ns);
+}
+
+bool
+trn_may (const struct trn_turns *t, unsigned place)
+{
+  unsigned waiting = count_waiting (t);
+
+  return waiting == 0 || (waiting == 1 && t->waits[place])
+         || place == t->holder;
+}
--- a/src/wire.h
+++ b/src/wire.h
@@ -6,6 +6,7 @@
 #ifndef LV_WIRE_H
 #define LV_WIRE_H
 
+#include "lagoonvale/room.h"
 #include "lagoonvale/sid.h"
 #include "lagoonvale/slice.h"
 #include "lvproto.h"
@@ -36,6 +37,22 @@
   return id;
 }
 
+/** wir_size() - message form of @s. */
+static inline lvp_size
+wir_size (const struct rom_size *s)
+{
+  lvp_size out = { s->cores, s->memory_mb, s->accelerators };
+  return out;
+}
+
+/** wir_to_size() - library form of @in. */
+static inline struct rom_size
+wir_to_size (const lvp_size *in)
+{
+  struct rom_size s = { in->cores, in->memory_mb, in->accelerators };
+  return s;
+}
+
 /** wir_bytes() - message form of borrowed bytes. */
 static inline lvp_bytes
 wir_bytes (struct lv_slice s)
--- /dev/null
+++ b/tests/process/test_workers.py
@@ -0,0 +1,233 @@
+"""Tasks that declare resources run at workers, under leases that an agent
+keeps: at most once, never more than a worker holds."""
+import time
+import unittest
+
+from client import OUTCOME_S, Caller, Cluster, ProcessTest, http, job, wait_until
+
+LEASE_MS = 900
+SIZE = {"cores": 32, "memory_mb": 131072, "accelerators": 2}
+
+
+def work(n=1, run_ms=50, cores=4, memory_mb=1024, accelerators=0, **more):
+    """A job of n tasks that each declare the same."""
+    body = job(n, run_ms, **more)
+    for task in body["tasks"]:
+        task.update(cores=cores, memory_mb=memory_mb,
+                    accelerators=accelerators)
+    return body
+
+
+class Workers(ProcessTest):
+    def cluster(self, entries=2, agents=2, workers=2, **more):
+        more.setdefault("agent", {"worker.lease_ms": LEASE_MS})
+        c = Cluster(entries=entries, agents=agents, workers=workers, **more)
+        self.addCleanup(c.close)
+        for i in range(workers):
+            self.assertTrue(wait_until(
+                lambda: c.worker_report(i)["epoch"] > 0))
+        self.await_room(c)
+        # Homes know a key's past from one second (clock skew) after they
+        # joined.
+        time.sleep(1.2)
+        return c
+
+    def await_room(self, c):
+        """Until each entry would admit what only a worker can hold."""
+        for i in range(len(c.entry_plan)):
+            self.assertTrue(wait_until(lambda: http(
+                "POST", c.url(i, "/v1/explain"), work())[1]["admitted"]))
+
+    def check_room(self, c):
+        for i in range(len(c.workers)):
+            for name, peak in c.worker_report(i)["peak"].items():
+                self.assertLessEqual(peak, SIZE[name], "worker %d" % i)
+
+    def test_sizes_are_never_exceeded(self):
+        c = self.cluster()
+        sizes = [(1, 512, 0), (8, 65536, 0), (32, 1024, 0), (4, 4096, 1),
+                 (2, 131072, 2), (16, 2048, 0)]
+        callers = [Caller(c, i % 2, work(12, 40, *sizes[i % 6],
+                                         team="t%d" % (i % 3)))
+                   for i in range(24)]
+        self.assertEqual({x.result() for x in callers}, {"complete"})
+        self.judge(c, callers)
+        self.check_room(c)
+        self.assertEqual(sum(c.starts().values()), 24 * 12)
+        self.assertEqual(sum(http("GET", "http://%s/starts" % m.address)[1]
+                             ["total"] for m in c.minions), 0)
+
+    def test_what_no_worker_can_hold_is_refused(self):
+        c = self.cluster()
+        for size in ((33, 1, 0), (1, 131073, 0), (1, 1, 3)):
+            done = Caller(c, 0, work(2, 50, *size))
+            self.assertEqual(done.result(), "not_run")
+            self.assertEqual(done.answers[0][0], 422)
+            self.assertEqual(done.answers[0][1]["error"]["code"], "no_target")
+        self.assertEqual(c.starts(), {})
+
+    def test_a_large_task_is_not_starved_by_small_ones(self):
+        c = self.cluster(agents=1, workers=1)
+        small = [Caller(c, i % 2, work(60, 150, 2, team="small"))
+                 for i in range(6)]
+        time.sleep(0.3)
+        large = Caller(c, 0, work(1, 50, 32, team="large"))
+        self.assertEqual(large.result(), "complete")
+        self.assertTrue(any(x.is_alive() for x in small),
+                        "the large task came last")
+        for x in small:
+            x.result()
+        self.judge(c, small + [large])
+        self.check_room(c)
+
+    def test_waiting_for_a_worker_holds_up_no_request(self):
+        c = self.cluster(agents=1, workers=1)
+        held = [Caller(c, 0, work(1, 3000, 32)) for _ in range(3)]
+        time.sleep(0.2)
+        quick = Caller(c, 0, job(4, 50))
+        self.assertEqual(quick.result(), "complete")
+        self.assertLess(quick.took_s, 2)
+        for x in held:
+            self.assertEqual(x.result(), "complete")
+        self.judge(c, held + [quick])
+
+    def test_a_lease_that_lapses_while_its_holder_is_paused(self):
+        c = self.cluster(agents=2, workers=2, entry={"gone_ms": 60000})
+        callers = [Caller(c, 0, work(8, 4000, 8), tries=3, timeout=30)]
+        self.assertTrue(wait_until(
+            lambda: sum(c.starts().values()) == 8))
+        c.agents[0].pause()
+        self.assertTrue(wait_until(
+            lambda: c.worker_report(0)["lapsed"] == 1))
+        self.assertEqual(c.worker_report(0)["running"], 0)
+        time.sleep(1)
+        c.agents[0].resume()
+        self.assertEqual(callers[0].result(), "may_have_run")
+        self.assertTrue(wait_until(
+            lambda: c.worker_report(0)["epoch"] == 2, OUTCOME_S))
+        # Both workers are needed at once.
+        again = Caller(c, 1, work(2, 800, 32))
+        self.assertEqual(again.result(), "complete")
+        self.judge(c, callers + [again])
+        self.check_room(c)
+
+    def test_keeper_killed_and_replaced(self):
+        c = self.cluster(agents=1, workers=1, proxy=True)
+        first = Caller(c, 0, work(4, 3000, 8))
+        self.assertTrue(wait_until(lambda: sum(c.starts().values()) == 4))
+        c.agents[0].kill()
+        c.agents[0] = c.start_agent(0)
+        self.assertEqual(first.result(OUTCOME_S), "may_have_run")
+        self.assertTrue(wait_until(
+            lambda: c.worker_report(0)["epoch"] == 2, OUTCOME_S))
+        self.await_room(c)
+        second = Caller(c, 1, work(4, 50, 8), tries=20)
+        self.assertEqual(second.result(), "complete")
+        self.judge(c, [first, second])
+        self.check_room(c)
+
+    def test_worker_cut_off_from_its_keeper(self):
+        c = self.cluster(agents=1, workers=1, proxy=True)
+        first = Caller(c, 0, work(4, 5000, 8))
+        self.assertTrue(wait_until(lambda: sum(c.starts().values()) == 4))
+        c.fault("w0", cut=True)
+        self.assertEqual(first.result(OUTCOME_S), "may_have_run")
+        self.assertTrue(wait_until(
+            lambda: c.worker_report(0)["running"] == 0, OUTCOME_S))
+        refused = Caller(c, 0, work(1, 50, 8, deadline_ms=500))
+        self.assertEqual(refused.result(OUTCOME_S), "not_run")
+        c.fault("w0", cut=False)
+        self.assertTrue(wait_until(
+            lambda: c.worker_report(0)["epoch"] == 2, OUTCOME_S))
+        after = Caller(c, 1, work(4, 50, 8))
+        self.assertEqual(after.result(), "complete")
+        self.judge(c, [first, refused, after])
+
+    def test_connections_to_the_worker_freeze(self):
+        c = self.cluster(agents=1, workers=1, proxy=True,
+                         agent={"worker.lease_ms": LEASE_MS,
+                                "task_limit_ms": 4000})
+        first = Caller(c, 0, work(4, 300, 8))
+        self.assertTrue(wait_until(lambda: sum(c.starts().values()) == 4))
+        c.fault("w0", freeze="all")
+        self.assertEqual(first.result(OUTCOME_S), "may_have_run")
+        after = Caller(c, 1, work(8, 50, 4))
+        self.assertEqual(after.result(), "complete")
+        self.judge(c, [first, after])
+        self.check_room(c)
+
+    def test_use_beyond_what_was_declared_keeps_new_tasks_out(self):
+        c = self.cluster(agents=1, workers=1)
+        c.worker_control(0, usage_lag_ms=700)
+        liar = work(1, 3500, 1, 1024)
+        liar["tasks"][0]["payload"]["uses_memory_mb"] = 131072
+        first = Caller(c, 0, liar)
+        self.assertTrue(wait_until(lambda: sum(c.starts().values()) == 1))
+        time.sleep(2)  # the lag, and a report after it
+        began = time.monotonic()
+        second = Caller(c, 0, work(1, 50, 1, 65536))
+        self.assertEqual(second.result(), "complete")
+        self.assertGreater(time.monotonic() - began, 0.5)
+        self.assertFalse(first.is_alive(), "it started beside the first")
+        self.judge(c, [first, second])
+
+    def test_cancelled_tasks_are_stopped_at_the_worker(self):
+        c = self.cluster(agents=1, workers=1)
+        sid = c.mint(0)[0]
+        first = Caller(c, 0, work(8, 20000, 4, id=sid))
+        self.assertTrue(wait_until(lambda: sum(c.starts().values()) == 8))
+        http("DELETE", c.url(1, "/v1/jobs/" + sid))
+        self.assertEqual(first.result(OUTCOME_S), "may_have_run")
+        self.assertTrue(wait_until(
+            lambda: c.worker_report(0)["running"] == 0, OUTCOME_S))
+        after = Caller(c, 0, work(1, 50, 32))
+        self.assertEqual(after.result(OUTCOME_S), "complete")
+        self.judge(c, [first, after])
+
+    def test_same_id_and_key_through_two_entries(self):
+        c = self.cluster()
+        sid = c.mint(0)[0]
+        callers = [Caller(c, i % 2, work(6, 200, 4, id=sid))
+                   for i in range(4)]
+        body = work(6, 200, 4, key="w1",
+                    first_sent_ms=int(time.time() * 1000))
+        callers += [Caller(c, i % 2, body) for i in range(4)]
+        self.assertEqual({x.result() for x in callers}, {"complete"})
+        self.judge(c, callers)
+        self.assertEqual(sum(c.starts().values()), 12)
+
+    def test_owner_killed_while_the_log_is_down(self):
+        c = self.cluster()
+        sid = c.mint(0)[0]
+        caller = Caller(c, 0, work(8, 900, 4, id=sid), tries=6)
+        self.assertTrue(wait_until(lambda: sum(c.starts().values()) == 8))
+        c.log_control(down=True)
+        c.entries[0].kill()
+        self.assertEqual(caller.result(), "complete")
+        self.judge(c, [caller])
+        self.assertEqual(sum(c.starts().values()), 8)
+
+    def test_agent_told_to_leave_finishes_its_workers_tasks(self):
+        c = self.cluster(agents=2, workers=1)
+        caller = Caller(c, 0, work(4, 1500, 8))
+        self.assertTrue(wait_until(lambda: sum(c.starts().values()) == 4))
+        self.assertEqual(c.agents[0].stop(), 0)
+        self.assertEqual(caller.result(), "complete")
+        self.judge(c, [caller])
+
+    def test_a_worker_that_fails_all_it_starts(self):
+        c = self.cluster(agents=4, workers=4, entries=1)
+        c.worker_control(0, fail_all=True)
+        results = [Caller(c, 0, work(1, 30, 8)) for _ in range(60)]
+        lost = sum(x.result() != "complete" for x in results)
+        late = [Caller(c, 0, work(1, 30, 8)) for _ in range(40)]
+        self.assertLessEqual(sum(x.result() != "complete" for x in late), 1)
+        self.assertLess(lost, 60)
+        # The minion beside it is not blamed.
+        state = [a for a in c.status(0)["agents"] if a["name"] == "a0"][0]
+        self.assertEqual(state["health"], "fit")
+        self.judge(c, results + late)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -130,20 +130,22 @@
 
     def __init__(self, entries=2, agents=3, slots=8, proxy=False, null=False,
                  entry=None, agent=None, rules=None, delay_ms=0, start=True,
-                 log_proxy=False):
+                 workers=0):
         self.dir = tempfile.mkdtemp(prefix="lagoonvale-")
         self.processes = []
         self.entry_settings = dict({"log.level": "info"}, **(entry or {}))
         self.agent_settings = dict({"log.level": "info"}, **(agent or {}))
         self.slots, self.null, self.proxy = slots, null, proxy
         self.delay_ms = delay_ms
-        ports = free_ports(2 + 4 * entries + 5 * agents)
+        ports = free_ports(2 + 4 * entries + 5 * agents + 2 * workers)
         self.ports = iter(ports)
         self.log = self.standin("log", "log.py", next(self.ports))
         self.log_url = "http://" + self.log.address
         self.entries, self.agents, self.minions = [], [], []
+        self.workers = []
         self.routes = {}
         self.plan(entries, agents)
+        self.plan_workers(workers)
         try:
             if proxy:
                 self.start_proxy()
@@ -173,6 +175,13 @@
                 plan["minion_via"] = plan["minion"]
             self.agent_plan.append(plan)
 
+    def plan_workers(self, workers):
+        """Agent i keeps worker i."""
+        for i in range(workers):
+            address = self.address()
+            self.agent_plan[i]["worker"] = address
+            self.agent_plan[i]["worker_via"] = self.route("w%d" % i, address)
+
     def address(self):
         try:
             port = next(self.ports)
@@ -198,7 +207,8 @@
         address = "127.0.0.1:%d" % port
         argv = [sys.executable, os.path.join(ROOT, "standins", script),
                 "--listen", address] + list(extra)
-        probes = {"log.py": "/stats", "minion.py": "/health"}
+        probes = {"log.py": "/stats", "minion.py": "/health",
+                  "worker.py": "/starts"}
         return self.spawn(name, argv, address,
                           "http://%s%s" % (address, probes[script]))
 
@@ -240,6 +250,10 @@
         return self.standin("m%d" % i, "minion.py", port,
                             ["--slots", str(self.slots), "--seed", str(i)])
 
+    def start_worker(self, i):
+        port = int(self.agent_plan[i]["worker"].rsplit(":", 1)[1])
+        return self.standin("w%d" % i, "worker.py", port)
+
     def start_agent(self, i, name=None, **extra):
         plan = self.agent_plan[i]
         settings = {"name": name or plan["name"], "domain": plan["domain"],
@@ -248,6 +262,8 @@
                     "target.url": "http://" + plan["minion_via"],
                     "target.kind": "null" if self.null else "minion",
                     "target.slots": self.slots}
+        if "worker" in plan:
+            settings["worker.url"] = "http://" + plan["worker_via"]
         settings.update(self.agent_settings)
         settings.update(extra)
         path = self.write_settings(settings["name"], settings)
@@ -283,7 +299,9 @@
         for i in range(len(self.agent_plan)):
             if not self.null:
                 self.minions.append(self.start_minion(i))
-        for m in self.minions:
+            if "worker" in self.agent_plan[i]:
+                self.workers.append(self.start_worker(i))
+        for m in self.minions + self.workers:
             assert wait_until(m.ready), m.name
         for i in range(len(self.agent_plan)):
             self.agents.append(self.start_agent(i))
@@ -347,9 +365,9 @@
         return values
 
     def starts(self, summary=False):
-        """Starts by task over all minions, as the minions count them."""
+        """Starts by task, as the minions and workers count them."""
         total = {}
-        for m in self.minions:
+        for m in self.minions + self.workers:
             status, answer = http("GET", "http://%s/starts" % m.address)
             if status != 200:
                 continue
@@ -361,6 +379,13 @@
         return http("POST", "http://%s/control" % self.minions[i].address,
                     what)
 
+    def worker_control(self, i, **what):
+        return http("POST", "http://%s/control" % self.workers[i].address,
+                    what)
+
+    def worker_report(self, i):
+        return http("GET", "http://%s/starts" % self.workers[i].address)[1]
+
     def log_control(self, **what):
         return http("POST", self.log_url + "/control", what)
 
--- a/tools/load.c
+++ b/tools/load.c
@@ -73,6 +73,7 @@
 body_of (const struct run *run, const struct load_job *job)
 {
   const struct load_stream *st = &run->scenario->stream[job->stream];
+  const struct rom_size *need = &st->kind[job->kind].need;
   char *text = talloc_asprintf (
       NULL, "{\"team\":\"%s\",\"urgency\":\"%s\",\"kind\":\"%s\",", st->team,
       req_urgency_name (st->urgency), st->kind[job->kind].name);
@@ -86,10 +87,11 @@
       double ms = run->plan->run_ms[job->first_task + i];
       text = talloc_asprintf_append_buffer (
           text,
-          "%s{\"declared_ms\":%u,\"payload\":{\"run_ms\":%.2f,"
+          "%s{\"declared_ms\":%u,\"cores\":%u,\"memory_mb\":%u,"
+          "\"accelerators\":%u,\"payload\":{\"run_ms\":%.2f,"
           "\"out_bytes\":%u}}",
-          i > 0 ? "," : "", (unsigned)(ms * st->declared_factor), ms,
-          st->out_bytes);
+          i > 0 ? "," : "", (unsigned)(ms * st->declared_factor), need->cores,
+          need->memory_mb, need->accelerators, ms, st->out_bytes);
     }
   return talloc_strdup_append_buffer (text, "]}");
 }
--- a/tools/load.h
+++ b/tools/load.h
@@ -12,6 +12,7 @@
 
 #include "error.h"
 #include "lagoonvale/queue.h"
+#include "lagoonvale/room.h"
 
 /** Kinds of task in one stream. */
 #define LOAD_KINDS_MAX 16
@@ -26,11 +27,13 @@
 /**
  * struct load_kind - run times of one kind, log-uniform between two bounds
  * @share: relative frequency
+ * @need: resources that each task declares, none for a request
  */
 struct load_kind
 {
   char name[64];
   double share;
+  struct rom_size need;
   double min_ms;
   double max_ms;
 };
--- a/tools/load_scenario.c
+++ b/tools/load_scenario.c
@@ -32,6 +32,9 @@
   k->share = number (json, "share", 1);
   k->min_ms = number (json, "min_ms", 0);
   k->max_ms = number (json, "max_ms", k->min_ms);
+  k->need.cores = (uint32_t)number (json, "cores", 0);
+  k->need.memory_mb = (uint32_t)number (json, "memory_mb", 0);
+  k->need.accelerators = (uint32_t)number (json, "accelerators", 0);
   return k->name[0] != '\0' && k->min_ms >= 0 && k->max_ms >= k->min_ms
                  && k->share > 0
              ? 0
