Teams and kinds that were idle for long are forgotten; queue split

Ruled out: the estimates, which are bounded by number. Way taken: counts of what runs go when nothing does; the queue frees teams and flows that used less than a twentieth of a slot lately, once a second. Conclusion: an entry's memory no longer depends on names that were used once.

--- a/include/lagoonvale/queue.h
+++ b/include/lagoonvale/queue.h
@@ -119,6 +119,14 @@
               enum que_urgency urgency, struct lv_slice kind,
               uint64_t estimate_ns, uint64_t spread_ns, uint64_t now_ns);
 
+/**
+ * que_forget() - free teams and flows that were idle for long
+ *
+ * Call it now and then: callers name teams and kinds, so there is no bound on
+ * how many have been seen.
+ */
+void que_forget (struct que_queue *q, uint64_t now_ns);
+
 /** que_remove() - take a waiting task out, wherever it is. */
 void que_remove (struct que_queue *q, struct que_item *item);
 
--- a/src/entry.c
+++ b/src/entry.c
@@ -19,6 +19,8 @@
 /* A longer gap between two ticks means that the process did not run.  */
 #define PAUSE_NS (1000 * CLK_MS)
 #define LOG_CONNECTIONS 16L
+/* Between two looks for teams that were idle for long.  */
+#define FORGET_PERIOD_NS (1000 * CLK_MS)
 /* Least time that a leaver goes on, so that others hear of it.  */
 #define LEAVE_LINGER_NS (300 * CLK_MS)
 
@@ -229,6 +231,16 @@
   e->last_tick_ns = now_ns;
 }
 
+static void
+forget_idle (struct ent_entry *e, uint64_t now_ns)
+{
+  if (now_ns < e->next_forget_ns)
+    return;
+  e->next_forget_ns = now_ns + FORGET_PERIOD_NS;
+  que_forget (&e->queue, now_ns);
+  que_forget (&e->worker_queue, now_ns);
+}
+
 static void
 tick (struct tevent_context *ev, struct tevent_timer *te, struct timeval at,
       void *priv)
@@ -246,6 +258,7 @@
   ent_record_tick (e, now);
   ent_record_expire (e, now);
   ros_expire (&e->roster, clk_wall_ms () - 4 * e->set.window_s * 1000);
+  forget_idle (e, now);
   update_slots (e);
   update_gauges (e);
   ent_pump (e);
--- a/src/entry.h
+++ b/src/entry.h
@@ -268,6 +268,7 @@
   uint64_t next_refresh_ns;
   uint64_t next_state_ns;
   uint64_t next_sync_ns;
+  uint64_t next_forget_ns;
 
   struct que_queue queue;        /* waits for slots of minions */
   struct que_queue worker_queue; /* waits for room at workers */
--- a/src/entry_admit.c
+++ b/src/entry_admit.c
@@ -38,12 +38,25 @@
   return u;
 }
 
+/* Callers choose names freely, so one that nothing runs under is forgotten. */
+static void
+add_usage (struct ent_entry *e, char type, struct lv_slice name, int n)
+{
+  struct ent_usage *u = usage_of (e, type, name, true);
+
+  u->running += n;
+  if (u->running > 0)
+    return;
+  HASH_DEL (e->usage, u);
+  talloc_free (u);
+}
+
 void
 ent_usage_add (struct ent_entry *e, struct lv_slice team, struct lv_slice kind,
                int n)
 {
-  usage_of (e, 't', team, true)->running += n;
-  usage_of (e, 'k', kind, true)->running += n;
+  add_usage (e, 't', team, n);
+  add_usage (e, 'k', kind, n);
 }
 
 static bool
--- a/src/queue.c
+++ b/src/queue.c
@@ -8,19 +8,12 @@
 #include <utlist.h>
 
 #include "lagoonvale/share.h"
+#include "order.h"
 
-#define FIRST_OCTAVE 22
-#define PER_OCTAVE 2
 #define NAME_BYTES 64
 #define KEY_BYTES (2 * NAME_BYTES + 2)
 /* Shares of the urgencies within one team.  */
 static const double urgency_factor[QUE_URGENCIES] = { 8, 4, 1 };
-struct heap
-{
-  struct que_item **items;
-  unsigned count;
-  unsigned cap;
-};
 
 /* A team with work waiting or running.  */
 struct que_team
@@ -31,6 +24,7 @@
   size_t count;
   struct shr_use use;
   unsigned kinds[QUE_URGENCIES]; /* flows that wait or run, by urgency */
+  unsigned flows;                /* all of its flows */
   UT_hash_handle hh;
 };
 
@@ -44,48 +38,12 @@
   size_t count;
   struct shr_use use;
   uint64_t work_ns;
-  struct heap bucket[QUE_BUCKETS];
+  struct ord_items items;
   struct que_flow *prev;
   struct que_flow *next;
   UT_hash_handle hh;
 };
 
-static double
-score_arrival (const struct que_item *item, uint64_t now_ns)
-{
-  return (double)now_ns - (double)item->stamp_ns;
-}
-
-static double
-score_shortest (const struct que_item *item, uint64_t now_ns)
-{
-  (void)now_ns;
-  return -(double)item->estimate_ns;
-}
-
-static double
-score_ratio (const struct que_item *item, uint64_t now_ns)
-{
-  double waited = (double)now_ns - (double)item->stamp_ns;
-
-  return waited / ((double)item->estimate_ns + 1);
-}
-
-static const struct que_order orders[] = {
-  { "arrival", score_arrival },
-  { "shortest", score_shortest },
-  { "ratio", score_ratio },
-};
-
-const struct que_order *
-que_order_find (const char *name)
-{
-  for (size_t i = 0; i < sizeof orders / sizeof orders[0]; i++)
-    if (strcmp (orders[i].name, name) == 0)
-      return &orders[i];
-  return NULL;
-}
-
 void
 que_init (struct que_queue *q, void *mem_ctx, const struct que_order *order)
 {
@@ -116,88 +74,6 @@
   }
 }
 
-static void
-heap_swap (struct heap *h, unsigned a, unsigned b)
-{
-  struct que_item *item = h->items[a];
-
-  h->items[a] = h->items[b];
-  h->items[b] = item;
-  h->items[a]->place = a;
-  h->items[b]->place = b;
-}
-
-static void
-heap_up (struct heap *h, unsigned at)
-{
-  while (at > 0 && h->items[at]->stamp_ns < h->items[(at - 1) / 2]->stamp_ns)
-    {
-      heap_swap (h, at, (at - 1) / 2);
-      at = (at - 1) / 2;
-    }
-}
-
-static void
-heap_down (struct heap *h, unsigned at)
-{
-  for (;;)
-    {
-      unsigned least = at;
-      for (unsigned child = 2 * at + 1; child <= 2 * at + 2; child++)
-        if (child < h->count
-            && h->items[child]->stamp_ns < h->items[least]->stamp_ns)
-          least = child;
-      if (least == at)
-        return;
-      heap_swap (h, at, least);
-      at = least;
-    }
-}
-
-static int
-heap_add (void *mem_ctx, struct heap *h, struct que_item *item)
-{
-  if (h->count == h->cap)
-    {
-      unsigned cap = h->cap > 0 ? h->cap * 2 : 8;
-      struct que_item **grown
-          = talloc_realloc (mem_ctx, h->items, struct que_item *, cap);
-      if (grown == NULL)
-        return -ENOMEM;
-      h->items = grown;
-      h->cap = cap;
-    }
-  item->place = h->count;
-  h->items[h->count++] = item;
-  heap_up (h, item->place);
-  return 0;
-}
-
-static void
-heap_remove (struct heap *h, struct que_item *item)
-{
-  unsigned at = item->place;
-
-  heap_swap (h, at, --h->count);
-  if (at < h->count)
-    {
-      heap_up (h, at);
-      heap_down (h, at);
-    }
-}
-
-static unsigned
-bucket_of (uint64_t estimate_ns)
-{
-  double octave = log2 ((double)estimate_ns + 1) - FIRST_OCTAVE;
-
-  if (octave <= 0)
-    return 0;
-  if (octave * PER_OCTAVE >= QUE_BUCKETS - 1)
-    return QUE_BUCKETS - 1;
-  return (unsigned)(octave * PER_OCTAVE);
-}
-
 static size_t
 flow_key (char key[KEY_BYTES], struct lv_slice team, enum que_urgency urgency,
           struct lv_slice kind)
@@ -267,6 +143,7 @@
   f->urgency = urgency;
   f->kind.data = f->key + 2 + f->key[1];
   f->kind.len = f->key_len - 2 - (size_t)f->key[1];
+  f->team->flows++;
   HASH_ADD_KEYPTR (hh, q->flows, f->key, f->key_len, f);
   return f;
 }
@@ -310,8 +187,7 @@
     return -ENOMEM;
   item->stamp_ns = now_ns + spread_ns;
   item->estimate_ns = estimate_ns;
-  item->bucket = bucket_of (estimate_ns);
-  if (heap_add (f, &f->bucket[item->bucket], item) != 0)
+  if (ord_add (f, &f->items, item) != 0)
     return -ENOMEM;
   item->flow = f;
   if (f->count == 0)
@@ -331,7 +207,7 @@
 {
   struct que_flow *f = item->flow;
 
-  heap_remove (&f->bucket[item->bucket], item);
+  ord_remove (&f->items, item);
   item->flow = NULL;
   f->count--;
   f->team->count--;
@@ -354,28 +230,6 @@
   note_active (q, f, true);
 }
 
-static struct que_item *
-best_item (const struct que_queue *q, const struct que_flow *f,
-           uint64_t now_ns)
-{
-  struct que_item *best = NULL;
-  double best_score = 0;
-
-  for (unsigned b = 0; b < QUE_BUCKETS; b++)
-    {
-      double score;
-      if (f->bucket[b].count == 0)
-        continue;
-      score = q->order->score (f->bucket[b].items[0], now_ns);
-      if (best == NULL || score > best_score)
-        {
-          best = f->bucket[b].items[0];
-          best_score = score;
-        }
-    }
-  return best;
-}
-
 /* How much of its part a flow uses, within its team: slots over the weight of
    its urgency, which the kinds of that urgency split.  */
 static double
@@ -462,6 +316,42 @@
   return team_use (a->team) < team_use (b->team);
 }
 
+/* Slots used lately, below which an idle team or flow is forgotten.  */
+#define FORGET_BELOW 0.05
+
+static bool
+forgettable (const struct que_queue *q, const struct shr_use *use,
+             uint64_t now_ns)
+{
+  return use->running == 0
+         && shr_lately (use, now_ns, q->memory_ns) < FORGET_BELOW;
+}
+
+void
+que_forget (struct que_queue *q, uint64_t now_ns)
+{
+  struct que_flow *f;
+  struct que_flow *next_flow;
+  struct que_team *t;
+  struct que_team *next_team;
+
+  HASH_ITER (hh, q->flows, f, next_flow)
+  {
+    if (f->count > 0 || !forgettable (q, &f->use, now_ns))
+      continue;
+    f->team->flows--;
+    HASH_DEL (q->flows, f);
+    talloc_free (f);
+  }
+  HASH_ITER (hh, q->teams, t, next_team)
+  {
+    if (t->flows > 0 || !forgettable (q, &t->use, now_ns))
+      continue;
+    HASH_DEL (q->teams, t);
+    talloc_free (t);
+  }
+}
+
 struct que_item *
 que_peek (struct que_queue *q, uint64_t now_ns,
           bool (*blocked) (void *priv, struct lv_slice team,
@@ -478,7 +368,7 @@
     if (best == NULL || goes_before (q, f, best, now_ns))
       best = f;
   }
-  return best != NULL ? best_item (q, best, now_ns) : NULL;
+  return best != NULL ? ord_best (&best->items, q->order, now_ns) : NULL;
 }
 
 void
--- a/tests/unit/decisions_test.cc
+++ b/tests/unit/decisions_test.cc
@@ -444,6 +444,35 @@
   EXPECT_NEAR (held["flood"], 40, 1);
 }
 
+/* Names that callers made up once do not stay; a team at work does.  */
+TEST_F (Queue, IdleTeamsAreForgotten)
+{
+  const size_t before = talloc_total_size (mem);
+  std::vector<Item> items (1001);
+  for (int i = 0; i < 1000; i++)
+    {
+      std::string team = "team" + std::to_string (i);
+      push (&items[i], team.c_str (), QUE_NORMAL, "k", 100);
+      ASSERT_NE (pop (1), nullptr);
+      if (i % 2)
+        done (team.c_str (), 60000);
+    }
+  push (&items[1000], "waits", QUE_NORMAL, "k", 100);
+  que_forget (&q, 60000 * kMs);
+  EXPECT_GT (talloc_total_size (mem), before + 1000 * sizeof (double))
+      << "used too lately to forget";
+  que_forget (&q, 300000 * kMs);
+  for (int i = 0; i < 1000; i += 2)
+    done (("team" + std::to_string (i)).c_str (), 300000);
+  EXPECT_EQ (pop (300001), &items[1000]);
+  done ("waits", 300002);
+  que_forget (&q, 900000 * kMs);
+  EXPECT_EQ (q.flows, nullptr);
+  EXPECT_EQ (q.teams, nullptr);
+  EXPECT_NEAR (q.weights, 0, 1e-6);
+  EXPECT_EQ (talloc_total_size (mem), before);
+}
+
 TEST (Share, Lately)
 {
   const struct
