--- a/src/net.c
+++ b/src/net.c
@@ -53,19 +53,30 @@
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
 }
 
-int
-net_listen (const char *text)
+/* A socket for the address TEXT.  Return: it, or a negative error number.  */
+static int
+open_socket (const char *text, struct sockaddr_in *address)
 {
-  struct sockaddr_in address;
-  int one = 1;
   int fd;
 
-  if (net_parse (&address, text) != 0)
+  if (net_parse (address, text) != 0)
     return -EINVAL;
   fd = socket (AF_INET, SOCK_STREAM, 0);
   if (fd < 0)
     return -errno;
   prepare (fd);
+  return fd;
+}
+
+int
+net_listen (const char *text)
+{
+  struct sockaddr_in address;
+  int one = 1;
+  int fd = open_socket (text, &address);
+
+  if (fd < 0)
+    return fd;
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   if (bind (fd, (struct sockaddr *)&address, sizeof address) != 0
       || listen (fd, LISTEN_BACKLOG) != 0)
@@ -102,14 +113,10 @@
 {
   struct sockaddr_in address;
   int rc;
-  int fd;
+  int fd = open_socket (text, &address);
 
-  if (net_parse (&address, text) != 0)
-    return -EINVAL;
-  fd = socket (AF_INET, SOCK_STREAM, 0);
   if (fd < 0)
-    return -errno;
-  prepare (fd);
+    return fd;
   rc = connect_from (fd, &address, source);
   if (rc == 0)
     return fd;
--- a/tests/process/test_workers.py
+++ b/tests/process/test_workers.py
@@ -1,5 +1,7 @@
 """Tasks that declare resources run at workers, under leases that an agent
 keeps: at most once, never more than a worker holds."""
+import itertools
+import random
 import time
 import unittest
 
@@ -215,6 +217,67 @@
         self.assertEqual(caller.result(), "complete")
         self.judge(c, [caller])
 
+    def test_two_agents_that_name_one_worker(self):
+        c = self.cluster(agents=2, workers=1)
+        c.agents[1].stop()
+        c.agents[1] = c.start_agent(1, **{
+            "worker.url": "http://" + c.agent_plan[0]["worker_via"]})
+        callers = [Caller(c, i % 2, work(8, 100, 8)) for i in range(4)]
+        self.assertEqual({x.result() for x in callers}, {"complete"})
+        self.assertEqual(c.worker_report(0)["epoch"], 1)
+        c.agents[0].kill()
+        self.assertTrue(wait_until(
+            lambda: c.worker_report(0)["epoch"] == 2, OUTCOME_S))
+        self.await_room(c)
+        callers += [Caller(c, i % 2, work(8, 50, 8), tries=3)
+                    for i in range(2)]
+        self.assertEqual({x.result() for x in callers}, {"complete"})
+        self.judge(c, callers)
+        self.check_room(c)
+
+    def test_pairs_of_failures(self):
+        """Drawn from a seed; one cluster each, under load."""
+        draw = random.Random(20261204)
+        failures = {
+            "keeper killed": lambda c: (
+                c.agents[0].kill(),
+                c.agents.__setitem__(0, c.start_agent(0))),
+            "keeper paused": lambda c: (
+                c.agents[0].pause(), time.sleep(1.6), c.agents[0].resume()),
+            "worker cut off": lambda c: (
+                c.fault("w0", cut=True), time.sleep(1.5),
+                c.fault("w0", cut=False)),
+            "connections to the worker frozen":
+                lambda c: c.fault("w0", freeze="all"),
+            "owner killed": lambda c: (
+                c.entries[0].kill(),
+                c.entries.__setitem__(0, c.start_entry(0))),
+            "log down": lambda c: c.log_control(down=True),
+            "worker killed": lambda c: c.kill_worker(1),
+        }
+        pairs = list(itertools.combinations(sorted(failures), 2))
+        for one, two in draw.sample(pairs, 5):
+            with self.subTest(failures=(one, two)):
+                self.pair(failures[one], failures[two])
+
+    def pair(self, one, two):
+        c = self.cluster(agents=3, workers=3, proxy=True,
+                         agent={"worker.lease_ms": LEASE_MS,
+                                "task_limit_ms": 4000})
+        callers = [Caller(c, i % 2, work(6, 400, 4, id=c.mint(i % 2)[0]),
+                          tries=5, timeout=20) for i in range(8)]
+        time.sleep(0.2)
+        one(c)
+        two(c)
+        results = [x.result() for x in callers]
+        self.assertNotIn("none", results)
+        c.log_control(down=False)
+        self.judge(c, callers)
+        self.check_room(c)
+        self.assertTrue(wait_until(lambda: Caller(
+            c, 1, work(4, 50, 4)).result() == "complete", OUTCOME_S))
+        c.close()
+
     def test_a_worker_that_fails_all_it_starts(self):
         c = self.cluster(agents=4, workers=4, entries=1)
         c.worker_control(0, fail_all=True)
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -143,6 +143,7 @@
         self.log_url = "http://" + self.log.address
         self.entries, self.agents, self.minions = [], [], []
         self.workers = []
+        self.lost_starts = {}  # counted by workers that were killed since
         self.routes = {}
         self.plan(entries, agents)
         self.plan_workers(workers)
@@ -366,7 +367,7 @@
 
     def starts(self, summary=False):
         """Starts by task, as the minions and workers count them."""
-        total = {}
+        total = dict(self.lost_starts)
         for m in self.minions + self.workers:
             status, answer = http("GET", "http://%s/starts" % m.address)
             if status != 200:
@@ -386,6 +387,14 @@
     def worker_report(self, i):
         return http("GET", "http://%s/starts" % self.workers[i].address)[1]
 
+    def kill_worker(self, i):
+        """Kill a worker, keeping its count of starts, and start it again."""
+        for task, n in self.worker_report(i)["tasks"].items():
+            self.lost_starts[task] = self.lost_starts.get(task, 0) + n
+        self.workers[i].kill()
+        self.workers[i].start()
+        assert wait_until(self.workers[i].ready)
+
     def log_control(self, **what):
         return http("POST", self.log_url + "/control", what)
 
