Workers in status, counters and the demo

Cause: an operator could not see which worker an agent keeps, whether its lease holds, or what room is left. Ruled out: the log line alone (one per lease). Before: nothing in /v1/status.

--- a/include/lagoonvale/health.h
+++ b/include/lagoonvale/health.h
@@ -27,6 +27,9 @@
   HLT_PROBING,
 };
 
+/** hlt_name() - "fit", "ejected" or "probing". */
+const char *hlt_name (enum hlt_state state);
+
 /**
  * struct hlt_target - health of one target, caller-owned, zeroed at first
  * @state: see enum hlt_state
--- a/src/agent.c
+++ b/src/agent.c
@@ -83,6 +83,12 @@
                              "sessions dropped for silence", false },
   [AGT_PAUSES] = { "lagoonvale_agent_pauses_total",
                    "times this process found it had been paused", false },
+  [AGT_LEASES] = { "lagoonvale_agent_worker_leases_total",
+                   "leases on a worker that were granted anew", false },
+  [AGT_LEASES_LOST] = { "lagoonvale_agent_worker_leases_lost_total",
+                        "leases on a worker that lapsed", false },
+  [AGT_WORKER_RUNNING]
+  = { "lagoonvale_agent_worker_running", "tasks running at the worker", true },
   [AGT_RUNNING] = { "lagoonvale_agent_running", "tasks running", true },
   [AGT_LEDGER_BYTES]
   = { "lagoonvale_agent_ledger_bytes", "start ledger, bytes", true },
@@ -98,6 +104,7 @@
 update_gauges (struct agt_agent *a)
 {
   ctr_set_gauge (&a->counters, AGT_RUNNING, a->running_count);
+  ctr_set_gauge (&a->counters, AGT_WORKER_RUNNING, a->worker.running);
   ctr_set_gauge (&a->counters, AGT_LEDGER_BYTES, a->ledger.bytes);
   ctr_set_gauge (&a->counters, AGT_KEY_BYTES, a->keys.bytes);
   ctr_set_gauge (&a->counters, AGT_RPC_BYTES, onc_bytes_sent ());
--- a/src/agent_worker.c
+++ b/src/agent_worker.c
@@ -125,6 +125,7 @@
   uint64_t epoch = jsx_uint (json, "epoch", 0);
   struct rom_size total = read_size (json);
 
+  ctr_add (&a->counters, AGT_LEASES, epoch != w->lease.epoch);
   if (epoch != w->lease.epoch)
     log_line (LOGL_INFO, "lease",
               "worker=%s epoch=%" PRIu64 " cores=%u memory_mb=%u "
@@ -144,6 +145,7 @@
 {
   uint64_t left_ns = jsx_uint (json, "left_ms", 0) * CLK_MS;
 
+  ctr_add (&a->counters, AGT_LEASES_LOST, a->worker.lease.epoch != 0);
   log_line (LOGL_WARN, "lease-refused",
             "worker=%s holder=%s left_ms=%" PRIu64 " lost_epoch=%" PRIu64,
             a->set.worker_url, jsx_string (json, "holder", "-"),
--- a/src/entry_dispatch.c
+++ b/src/entry_dispatch.c
@@ -55,8 +55,7 @@
   log_line (LOGL_WARN, "health",
             "agent=%s target=%s state=%s kind=%s blame=%.2f",
             call->link->member->name, worker ? "worker" : "minion",
-            health->state == HLT_EJECTED ? "ejected" : "fit", task->spec->kind,
-            health->blame);
+            hlt_name (health->state), task->spec->kind, health->blame);
 }
 
 /* A task that was sent runs, or waits, at its target no more.  */
--- a/src/entry_intake.c
+++ b/src/entry_intake.c
@@ -224,10 +224,35 @@
   answer_json (r, json);
 }
 
+static struct json_object *
+size_json (const struct rom_size *s)
+{
+  struct json_object *json = json_object_new_object ();
+
+  jsx_add (json, "cores", json_object_new_int64 (s->cores));
+  jsx_add (json, "memory_mb", json_object_new_int64 (s->memory_mb));
+  jsx_add (json, "accelerators", json_object_new_int64 (s->accelerators));
+  return json;
+}
+
+/* The worker that an agent keeps, as far as it holds a lease on it.  */
+static struct json_object *
+worker_status (const struct ent_link *link)
+{
+  struct json_object *json = json_object_new_object ();
+
+  jsx_add (json, "leased",
+           json_object_new_boolean (!rom_none (&link->room_total)));
+  jsx_add (json, "health",
+           json_object_new_string (hlt_name (link->worker_health.state)));
+  jsx_add (json, "size", size_json (&link->worker_size));
+  jsx_add (json, "free", size_json (&link->room_free));
+  return json;
+}
+
 static struct json_object *
 link_status (const struct ent_link *link)
 {
-  static const char *const health[] = { "fit", "ejected", "probing" };
   struct json_object *json = json_object_new_object ();
 
   jsx_add (json, "name", json_object_new_string (link->member->name));
@@ -235,9 +260,11 @@
   jsx_add (json, "connected", json_object_new_boolean (ent_link_ready (link)));
   jsx_add (json, "leaving", json_object_new_boolean (link->leaving));
   jsx_add (json, "health",
-           json_object_new_string (health[link->health.state]));
+           json_object_new_string (hlt_name (link->health.state)));
   jsx_add (json, "credits", json_object_new_int ((int)link->credits));
   jsx_add (json, "sent", json_object_new_int ((int)link->sent));
+  if (!rom_none (&link->worker_size))
+    jsx_add (json, "worker", worker_status (link));
   return json;
 }
 
--- a/src/health.c
+++ b/src/health.c
@@ -7,6 +7,14 @@
 /* Share of the blame that each success takes away.  */
 #define FORGIVE 0.25
 
+const char *
+hlt_name (enum hlt_state state)
+{
+  static const char *const names[] = { "fit", "ejected", "probing" };
+
+  return names[state];
+}
+
 static bool
 may_eject (const struct hlt_fleet *f)
 {
--- a/tests/process/test_workers.py
+++ b/tests/process/test_workers.py
@@ -25,20 +25,17 @@
         more.setdefault("agent", {"worker.lease_ms": LEASE_MS})
         c = Cluster(entries=entries, agents=agents, workers=workers, **more)
         self.addCleanup(c.close)
-        for i in range(workers):
-            self.assertTrue(wait_until(
-                lambda: c.worker_report(i)["epoch"] > 0))
-        self.await_room(c)
         # Homes know a key's past from one second (clock skew) after they
         # joined.
         time.sleep(1.2)
         return c
 
     def await_room(self, c):
-        """Until each entry would admit what only a worker can hold."""
+        """Until each entry knows of a worker under a lease."""
         for i in range(len(c.entry_plan)):
-            self.assertTrue(wait_until(lambda: http(
-                "POST", c.url(i, "/v1/explain"), work())[1]["admitted"]))
+            self.assertTrue(wait_until(lambda: any(
+                "worker" in a and a["worker"]["leased"]
+                for a in c.status(i)["agents"])))
 
     def check_room(self, c):
         for i in range(len(c.workers)):
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -319,6 +319,10 @@
                 lambda i=i: sum(a["connected"] for a in
                                 self.status(i)["agents"]) >= want), \
                 e.name + " does not see all agents"
+            assert wait_until(
+                lambda i=i: sum("worker" in a and a["worker"]["leased"]
+                                for a in self.status(i)["agents"])
+                >= len(self.workers)), e.name + " does not see all workers"
 
     def close(self):
         for p in reversed(self.processes):
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -65,8 +65,8 @@
     ratios = sorted(ms / ideal_ms(job, slots)
                     for job, (_, _, ms) in zip(jobs, results))
     print("jobs %d, whole answers %d" % (len(jobs), whole))
-    print("tasks %d, starts counted by the minions %d, most for one task %d"
-          % (tasks, sum(starts.values()), max(starts.values(), default=0)))
+    print("tasks %d, starts counted by minions and workers %d, most for one "
+          "task %d" % (tasks, sum(starts.values()), max(starts.values(), default=0)))
     print("response/ideal p50 %.2f, p99 %.2f (all jobs at once on %d slots)"
           % (ratios[len(ratios) // 2],
              ratios[math.ceil(0.99 * len(ratios)) - 1], slots))
@@ -78,7 +78,7 @@
 def demo():
     with open(RULES) as f:
         rules = f.read()
-    with Cluster(entries=2, agents=3, rules=rules) as cluster:
+    with Cluster(entries=2, agents=3, workers=3, rules=rules) as cluster:
         before = messages(cluster)
         jobs = read_jobs()
         results = run_jobs(cluster, jobs)
@@ -96,7 +96,7 @@
         print("demo: already up; run make demo-down first")
         return 1
     with open(RULES) as f:
-        cluster = Cluster(entries=2, agents=3, rules=f.read())
+        cluster = Cluster(entries=2, agents=3, workers=3, rules=f.read())
     os.makedirs(os.path.dirname(STATE), exist_ok=True)
     with open(STATE, "w") as f:
         json.dump({"pids": [p.popen.pid for p in cluster.processes],
