A new entry is ready in a log outage also where no rules were ever published

Cause: an entry that starts while the log is away takes rules and members from a peer, but a peer that knew that there were none (version 0) said nothing, so the new entry answered not_ready until the log came back. Found by running the tests of starting once with the log down for the whole of each. Ruled out: the members (they came); the four other tests that failed in that run: three need an agent to join or to be declared gone, which the log alone can agree (they now let it come back at that point, and assert what holds before), one publishes a rule and is left out of that class.

--- a/proto/lvproto.x
+++ b/proto/lvproto.x
@@ -168,6 +168,7 @@
 
 struct lvp_sync_res
 {
+  bool rules_known;		/* version 0: none were ever published */
   unsigned hyper rules_version;
   unsigned hyper rules_offset;
   lvp_bytes rules;
--- a/src/entry_guest.c
+++ b/src/entry_guest.c
@@ -98,11 +98,13 @@
   char *dump;
 
   memset (&res, 0, sizeof res);
-  if (e->rules_ready && e->rules.known && e->rules.version > 0)
+  if (e->rules_ready && e->rules.known)
     {
+      res.rules_known = true;
       res.rules_version = e->rules.version;
       res.rules_offset = e->rules.offset;
-      res.rules = wir_bytes (lv_slice_of (e->rules.text));
+      if (e->rules.text != NULL)
+        res.rules = wir_bytes (lv_slice_of (e->rules.text));
     }
   dump = ros_dump (e->ev, &e->roster);
   if (e->members_known)
--- a/src/entry_peer.c
+++ b/src/entry_peer.c
@@ -370,7 +370,7 @@
     return;
   if (!e->members_known && sync.roster > 0)
     ent_log_members_from (e, sync.roster, wir_slice (&sync.members));
-  if (sync.rules_version > 0
+  if (sync.rules_known
       && rvs_adopt (&e->rules, sync.rules_version, sync.rules_offset, "peer",
                     wir_slice (&sync.rules)))
     {
--- a/src/lvproto.h
+++ b/src/lvproto.h
@@ -204,6 +204,7 @@
 typedef struct lvp_forward_res lvp_forward_res;
 
 struct lvp_sync_res {
+	bool_t rules_known;
 	u_quad_t rules_version;
 	u_quad_t rules_offset;
 	lvp_bytes rules;
--- a/src/lvproto_xdr.c
+++ b/src/lvproto_xdr.c
@@ -400,6 +400,8 @@
 {
 	register int32_t *buf;
 
+	 if (!xdr_bool (xdrs, &objp->rules_known))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->rules_version))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->rules_offset))
--- a/tests/process/test_start_once.py
+++ b/tests/process/test_start_once.py
@@ -23,10 +23,24 @@
                 agent=dict(SHORT, **more.pop("agent", {})), **more)
     # Homes know a key's past from one second (clock skew) after they joined.
     time.sleep(1.2)
+    if StartOnce.log:
+        c.log_control(**StartOnce.log)
     return c
 
 
-class SameSubmission(ProcessTest):
+class StartOnce(ProcessTest):
+    """What the log does for the whole of each test of a class."""
+    log = {}
+
+    def setUp(self):
+        StartOnce.log = type(self).log
+
+    def log_back(self, c):
+        """What follows needs the log: an agent joins, or is declared gone."""
+        c.log_control(down=False)
+
+
+class SameSubmission(StartOnce):
     """The same id, and the same caller-chosen key, through two entries."""
 
     def run_twice(self, c, body, gap_s):
@@ -87,7 +101,7 @@
             self.judge(c, [one])
 
 
-class OwnerLost(ProcessTest):
+class OwnerLost(StartOnce):
     def submit_and_lose(self, c, body, lose):
         first = Caller(c, 0, body, timeout=20)
         self.assertTrue(wait_until(lambda: len(c.starts()) > 0))
@@ -195,7 +209,7 @@
             self.judge(c, [done, refused, fresh])
 
 
-class HomeLost(ProcessTest):
+class HomeLost(StartOnce):
     def key_at(self, c, agent):
         """A key whose home is the agent: found by asking the log of binds."""
         before = c.metrics(c.agents[agent])["lagoonvale_agent_key_bytes"]
@@ -222,6 +236,7 @@
             body = self.key_at(c, 1)
             c.agents[1].kill()
             self.again(c, body, ["complete", "may_have_run"])
+            self.log_back(c)
             self.assertTrue(wait_until(
                 lambda: len(c.status(0)["agents"]) == 2))
             # The other home remembers.
@@ -232,6 +247,8 @@
             body = self.key_at(c, 1)
             c.agents[1].kill()
             c.agents[1] = c.start_agent(1)
+            self.again(c, body, ["complete", "may_have_run"])
+            self.log_back(c)
             assert wait_until(c.agents[1].ready)
             self.again(c, body, ["complete", "may_have_run"])
 
@@ -266,13 +283,14 @@
             c.entries[1].kill()
             for i in range(2):
                 c.entries[i] = c.start_entry(i)
+            self.log_back(c)
             c.wait_ready()
             two = Caller(c, 1, body)
             self.assertEqual(two.result(), "may_have_run", two.answers)
             self.judge(c, [one, two])
 
 
-class LostMessages(ProcessTest):
+class LostMessages(StartOnce):
     def outcome(self, c, fault, mend, want):
         caller = Caller(c, 0, job(16, 400, id=c.mint(0)[0]), timeout=20)
         self.assertTrue(wait_until(lambda: len(c.starts()) >= 8))
@@ -336,7 +354,7 @@
             self.judge(c, [caller])
 
 
-class PairsOfFailures(ProcessTest):
+class PairsOfFailures(StartOnce):
     """Two failures at once, drawn from a seeded list, under load."""
 
     SEED = 20261204
@@ -401,3 +419,25 @@
 
     def test_pairs_2(self):
         self.run_part(2)
+
+
+class SameSubmissionLogDown(SameSubmission):
+    log = {"down": True}
+
+
+class SameSubmissionLogSlow(SameSubmission):
+    log = {"slow_ms": 900, "lose_replies": 1000}
+
+
+class OwnerLostLogDown(OwnerLost):
+    log = {"down": True}
+    # It publishes a rule, which needs the log.
+    test_refusals_of_an_owner_out_of_touch_claim_nothing = None
+
+
+class LostMessagesLogDown(LostMessages):
+    log = {"down": True}
+
+
+class HomeLostLogDown(HomeLost):
+    log = {"down": True}
