--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 UNIT_OBJ = $(UNIT_SRC:%.cc=$(B)/%.o)
 
 .PHONY: all deps check-deps demo demo-up demo-down check unit lint \
-  format format-check sanitize fuzz mutants bench install clean
+  format format-check sanitize sanitize-threads fuzz mutants bench install clean
 
 all: $(PROGRAMS) $(B)/example-queue $(B)/slopes
 
@@ -120,6 +120,17 @@
 	@ASAN_OPTIONS=detect_leaks=0 LV_BUILD=$(CURDIR)/build-asan \
 	  python3 tests/run.py sanitized
 
+# The same process tests under TSan; any report fails.
+TSAN_LOG = $(CURDIR)/build-tsan/report
+sanitize-threads: deps
+	@$(MAKE) -s -j4 B=build-tsan \
+	  CFLAGS="-O1 -g -fno-optimize-sibling-calls" SAN="-fsanitize=thread" all
+	@rm -f $(TSAN_LOG)*
+	@TSAN_OPTIONS="exitcode=0 log_path=$(TSAN_LOG) \
+	  suppressions=$(CURDIR)/tests/tsan.supp" LV_BUILD=$(CURDIR)/build-tsan \
+	  python3 tests/run.py sanitized
+	@! cat $(TSAN_LOG)* 2>/dev/null
+
 bench: deps
 	@$(MAKE) -s all
 	@python3 tools/bench.py
--- a/src/entry.c
+++ b/src/entry.c
@@ -150,6 +150,14 @@
   return set;
 }
 
+/* A call of its own, so that tests/tsan.supp can name its caller.  */
+static __attribute__ ((noinline)) void
+retire_view (struct ent_view *old)
+{
+  synchronize_rcu ();
+  talloc_free (old);
+}
+
 void
 ent_publish_view (struct ent_entry *e)
 {
@@ -159,13 +167,11 @@
   view->rules = parse_rules (e, view);
   view->ready = e->rules_ready && e->members_known;
   view->leaving = e->leaving;
-  rcu_assign_pointer (e->view, view);
+  atomic_store_explicit (&e->view, view, memory_order_release);
   que_reweigh (&e->queue);
   que_reweigh (&e->worker_queue);
-  if (old == NULL)
-    return;
-  synchronize_rcu ();
-  talloc_free (old);
+  if (old != NULL)
+    retire_view (old);
 }
 
 /* Slots that this entry can count on: its part of the fleet.  */
@@ -282,7 +288,12 @@
   note_pause (e, clk_now ());
   while ((node = cds_wfcq_dequeue_blocking (&e->intake_head, &e->intake_tail))
          != NULL)
-    ent_intake (e, caa_container_of (node, struct req_request, node));
+    {
+      struct req_request *r
+          = caa_container_of (node, struct req_request, node);
+      if (atomic_load_explicit (&r->handed, memory_order_acquire))
+        ent_intake (e, r);
+    }
 }
 
 static int
--- a/src/entry.h
+++ b/src/entry.h
@@ -249,8 +249,8 @@
   int wake_fd;
   struct cds_wfcq_head intake_head;
   struct cds_wfcq_tail intake_tail;
-  struct ent_view *view;
-  _Atomic uint64_t http_open; /* requests whose answer is not out yet */
+  struct ent_view *_Atomic view; /* freed after a grace period of RCU */
+  _Atomic uint64_t http_open;    /* requests whose answer is not out yet */
 
   struct ros_roster roster;
   struct rvs_state rules; /* as far as the stream was read */
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -91,6 +91,7 @@
   atomic_fetch_add (&e->http_open, 1);
   MHD_suspend_connection (x->connection);
   cds_wfcq_node_init (&r->node);
+  atomic_store_explicit (&r->handed, true, memory_order_release);
   /* The queue tells whether it was empty: only then is a wake-up due.  */
   if (!cds_wfcq_enqueue (&e->intake_head, &e->intake_tail, &r->node))
     if (write (e->wake_fd, &one, sizeof one) < 0)
@@ -125,7 +126,7 @@
   bool refused = true;
 
   rcu_read_lock ();
-  view = rcu_dereference (e->view);
+  view = atomic_load_explicit (&e->view, memory_order_acquire);
   if (view->leaving && !brought)
     req_refuse (why, 503, "leaving", "accept", true,
                 "this entry is shutting down; ask another");
--- a/src/request.h
+++ b/src/request.h
@@ -83,6 +83,7 @@
 struct req_request
 {
   struct cds_wfcq_node node;
+  _Atomic bool handed; /* between threads, in an order that sanitizers see */
   enum req_op op;
   bool has_sid;
   struct sid_id sid;
