Clients that try again: named jobs on the command line, a budget in the load tool

Cause: lagoonvale submit gave up at the first lost answer, and sending the file again by hand could run it twice, since nothing named it; the load tool never retried, so what retries do in a flood could not be measured. Ruled out: retrying what "may have run" (the same id gives the same answer).

--- a/cli/cli.h
+++ b/cli/cli.h
@@ -45,6 +45,9 @@
 int cli_parse (int argc, char **argv, void **table, int count,
                const char *command);
 
+/** cli_show() - print an answer. Return: its exit code. */
+int cli_show (const struct cli_reply *reply);
+
 /** cli_exit_for() - exit code for an answer of an entry. */
 int cli_exit_for (const struct cli_reply *reply);
 
--- a/cli/cli_jobs.c
+++ b/cli/cli_jobs.c
@@ -9,20 +9,6 @@
 #include "entry.h"
 
 #define STATUS_TIMEOUT_MS 5000L
-#define SUBMIT_TIMEOUT_MS 600000L
-
-static int
-show (struct cli_reply *reply)
-{
-  if (reply->err != 0)
-    {
-      fprintf (stderr, "error: step=request code=%d: no whole answer\n",
-               reply->err);
-      return DMN_UNKNOWN;
-    }
-  puts (reply->body);
-  return cli_exit_for (reply);
-}
 
 int
 cli_status (struct cli_context *cli, int argc, char **argv)
@@ -40,7 +26,7 @@
     {
       char *url = talloc_asprintf (cli->ev, "%s/v1/status", entry->sval[0]);
       reply = cli_http (cli, "GET", url, none, STATUS_TIMEOUT_MS);
-      rc = show (&reply);
+      rc = cli_show (&reply);
     }
   arg_freetable (table, 3);
   return rc;
@@ -77,30 +63,6 @@
   return rc;
 }
 
-int
-cli_submit (struct cli_context *cli, int argc, char **argv)
-{
-  struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
-  struct arg_str *entry
-      = arg_str1 ("e", "entry", "URL", "entry, http://IP:PORT");
-  struct arg_file *file
-      = arg_file1 (NULL, NULL, "FILE", "job, JSON as in docs/PROTOCOLS.md");
-  struct arg_end *end = arg_end (4);
-  void *table[] = { help, entry, file, end };
-  int rc = cli_parse (argc, argv, table, 4, "submit");
-
-  if (rc < 0)
-    {
-      struct cli_reply reply;
-      rc = DMN_USAGE;
-      if (cli_post_file (cli, entry->sval[0], "/v1/jobs", file->filename[0],
-                         SUBMIT_TIMEOUT_MS, &reply))
-        rc = show (&reply);
-    }
-  arg_freetable (table, 4);
-  return rc;
-}
-
 int
 cli_cancel (struct cli_context *cli, int argc, char **argv)
 {
@@ -119,7 +81,7 @@
       char *url = talloc_asprintf (cli->ev, "%s/v1/jobs/%s", entry->sval[0],
                                    id->sval[0]);
       reply = cli_http (cli, "DELETE", url, none, STATUS_TIMEOUT_MS);
-      rc = show (&reply);
+      rc = cli_show (&reply);
     }
   arg_freetable (table, 4);
   return rc;
--- /dev/null
+++ b/cli/cli_submit.c
@@ -0,0 +1,160 @@
+#include <argtable2.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+#include <time.h>
+
+#include "cli.h"
+#include "clock.h"
+#include "daemon.h"
+#include "jsonx.h"
+
+#define MINT_TIMEOUT_MS 5000L
+#define SUBMIT_TIMEOUT_MS 600000L
+#define ENTRIES_MAX 16
+#define RETRIES_MAX 100
+/* Wait before another try where the answer names none.  */
+#define RETRY_MS 200
+
+/* Where to submit, and how often.  */
+struct plan
+{
+  const char **entry;
+  int entries;
+  int retries;
+};
+
+static void
+sleep_ms (uint64_t ms)
+{
+  struct timespec t = { .tv_sec = (time_t)(ms / 1000),
+                        .tv_nsec = (long)(ms % 1000) * 1000000L };
+
+  nanosleep (&t, NULL);
+}
+
+static bool
+has_name (struct json_object *job)
+{
+  return json_object_object_get_ex (job, "id", NULL)
+         || json_object_object_get_ex (job, "key", NULL);
+}
+
+/* An id makes it safe to send a job again: it starts nothing twice.  */
+static void
+name_job (struct cli_context *cli, const struct plan *plan,
+          struct json_object *job)
+{
+  for (int i = 0; i < plan->entries && !has_name (job); i++)
+    {
+      struct lv_slice none = { NULL, 0 };
+      char *url
+          = talloc_asprintf (cli->ev, "%s/v1/submissions", plan->entry[i]);
+      struct cli_reply reply
+          = cli_http (cli, "ONCE", url, none, MINT_TIMEOUT_MS);
+      struct json_object *json = jsx_parse (lv_slice_of (reply.body));
+      struct json_object *ids = NULL;
+      if (json_object_object_get_ex (json, "ids", &ids)
+          && json_object_is_type (ids, json_type_array)
+          && json_object_array_length (ids) > 0)
+        json_object_object_add (
+            job, "id", json_object_get (json_object_array_get_idx (ids, 0)));
+      json_object_put (json);
+    }
+}
+
+/* Whether another try may end better: no answer came, or the job has not run
+   and the entry says when to come back.  Return: the wait in ms, 0 for no.  */
+static uint64_t
+retry_after_ms (const struct cli_reply *reply)
+{
+  struct json_object *json;
+  struct json_object *error = NULL;
+  uint64_t wait = 0;
+
+  if (reply->err != 0)
+    return RETRY_MS;
+  json = jsx_parse (lv_slice_of (reply->body));
+  if (json_object_object_get_ex (json, "error", &error)
+      && json_object_object_get_ex (error, "not_run", NULL))
+    wait = jsx_uint (error, "retry_after_ms", 0);
+  json_object_put (json);
+  return wait;
+}
+
+static struct cli_reply
+submit (struct cli_context *cli, const struct plan *plan, struct lv_slice body)
+{
+  struct cli_reply reply = { 0 };
+
+  for (int try = 0; try <= plan->retries; try++)
+    {
+      char *url = talloc_asprintf (cli->ev, "%s/v1/jobs",
+                                   plan->entry[try % plan->entries]);
+      uint64_t wait;
+      reply = cli_http (cli, "ONCE", url, body, SUBMIT_TIMEOUT_MS);
+      wait = retry_after_ms (&reply);
+      if (wait == 0 || try == plan->retries)
+        break;
+      fprintf (stderr, "retry %d of %d in %lu ms\n", try + 1, plan->retries,
+               (unsigned long)wait);
+      sleep_ms (wait);
+    }
+  return reply;
+}
+
+static int
+submit_file (struct cli_context *cli, struct plan *plan, const char *path)
+{
+  struct lv_slice body;
+  struct json_object *job;
+  struct cli_reply reply;
+
+  body.data = cli_read_file (cli, path, &body.len);
+  if (body.data == NULL)
+    return DMN_USAGE;
+  job = plan->retries > 0 ? jsx_parse (body) : NULL;
+  if (json_object_is_type (job, json_type_object))
+    {
+      name_job (cli, plan, job);
+      body = lv_slice_of (json_object_to_json_string (job));
+    }
+  /* Without a name, sending it again could run it twice.  */
+  if (!has_name (job))
+    plan->retries = 0;
+  reply = submit (cli, plan, body);
+  json_object_put (job);
+  return cli_show (&reply);
+}
+
+int
+cli_submit (struct cli_context *cli, int argc, char **argv)
+{
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
+  struct arg_str *entry = arg_strn ("e", "entry", "URL", 1, ENTRIES_MAX,
+                                    "entries, http://IP:PORT, in turn");
+  struct arg_int *retries = arg_int0 (
+      "r", "retries", "N", "tries after the first, the same job; 0 to 100");
+  struct arg_file *file
+      = arg_file1 (NULL, NULL, "FILE", "job, JSON as in docs/PROTOCOLS.md");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { help, entry, retries, file, end };
+  int rc = cli_parse (argc, argv, table, 5, "submit");
+
+  if (rc < 0)
+    {
+      struct plan plan = { entry->sval, entry->count,
+                           retries->count > 0 ? retries->ival[0] : 0 };
+      if (plan.retries < 0 || plan.retries > RETRIES_MAX)
+        {
+          fprintf (stderr, "submit: --retries: found %d, expected 0 to %d\n",
+                   plan.retries, RETRIES_MAX);
+          rc = DMN_USAGE;
+        }
+      else
+        rc = submit_file (cli, &plan, file->filename[0]);
+    }
+  arg_freetable (table, 5);
+  return rc;
+}
--- a/cli/main.c
+++ b/cli/main.c
@@ -122,6 +122,19 @@
   return code;
 }
 
+int
+cli_show (const struct cli_reply *reply)
+{
+  if (reply->err != 0)
+    {
+      fprintf (stderr, "error: step=request code=%d: no whole answer\n",
+               reply->err);
+      return DMN_UNKNOWN;
+    }
+  puts (reply->body);
+  return cli_exit_for (reply);
+}
+
 static const struct
 {
   const char *name;
--- a/include/lagoonvale/lagoonvale.h
+++ b/include/lagoonvale/lagoonvale.h
@@ -9,6 +9,7 @@
  * Starting:  ledger, submission, adopt, keybind
  * Deciding:  queue, share, estimate, grant, placement, health
  * Workers:   lease, room, turn
+ * Clients:   budget
  * Rules:     rules, ruleversion
  * Metrics:   counter
  */
@@ -16,6 +17,7 @@
 #define LV_LAGOONVALE_H
 
 #include "lagoonvale/adopt.h"
+#include "lagoonvale/budget.h"
 #include "lagoonvale/counter.h"
 #include "lagoonvale/estimate.h"
 #include "lagoonvale/grant.h"
--- a/tests/unit/workers_test.cc
+++ b/tests/unit/workers_test.cc
@@ -2,6 +2,7 @@
 #include <vector>
 extern "C"
 {
+#include "lagoonvale/budget.h"
 #include "lagoonvale/lease.h"
 #include "lagoonvale/placement.h"
 #include "lagoonvale/room.h"
@@ -142,6 +143,21 @@
   EXPECT_TRUE (trn_may (&t, 3));
 }
 
+TEST (Budget, RetriesStayASmallShare)
+{
+  struct bgt_budget b;
+  int retries = 0;
+  bgt_init (&b);
+  for (int i = 0; i < 1000; i++)
+    {
+      bgt_request (&b);
+      while (bgt_retry (&b))
+        retries++;
+    }
+  EXPECT_LE (retries, 1000 * BGT_RATIO + BGT_MOST);
+  EXPECT_GE (retries, 1000 * BGT_RATIO);
+}
+
 TEST (Placement, Workers)
 {
   const struct
--- a/tools/load.c
+++ b/tools/load.c
@@ -18,11 +18,14 @@
 #include "daemon.h"
 #include "http_client.h"
 #include "jsonx.h"
+#include "lagoonvale/budget.h"
 #include "request.h"
 
 #define CONNECTIONS 8192L
 #define ANSWER_TIMEOUT_MS 120000L
 #define DRAIN_S 60
+/* Wait before a retry where the answer names none.  */
+#define RETRY_MS 100
 
 struct run
 {
@@ -36,6 +39,7 @@
   int timer_fd; /* readable when the next job is due */
   uint32_t next;
   uint32_t open;
+  struct bgt_budget budget[LOAD_STREAMS_MAX];
 };
 
 struct sent
@@ -56,15 +60,59 @@
              : LOAD_FAILED;
 }
 
+static void send_job (struct run *run, struct load_job *job);
+
+static void
+send_again (struct tevent_context *ev, struct tevent_timer *te,
+            struct timeval at, void *priv)
+{
+  struct sent *sent = priv;
+
+  (void)ev;
+  (void)te;
+  (void)at;
+  sent->run->open--;
+  send_job (sent->run, sent->job);
+  talloc_free (sent);
+}
+
+/* Whether a refused job is sent again, after the wait that its answer names.
+ */
+static bool
+retry (struct sent *sent, struct lv_slice body)
+{
+  struct run *run = sent->run;
+  const struct load_stream *st = &run->scenario->stream[sent->job->stream];
+  struct json_object *json;
+  struct json_object *error = NULL;
+  uint32_t wait_ms;
+
+  if (sent->job->sends > st->retries
+      || (st->budget && !bgt_retry (&run->budget[sent->job->stream])))
+    return false;
+  json = jsx_parse (body);
+  json_object_object_get_ex (json, "error", &error);
+  wait_ms = (uint32_t)jsx_uint (error, "retry_after_ms", RETRY_MS);
+  json_object_put (json);
+  tevent_add_timer (
+      run->ev, sent,
+      tevent_timeval_current_ofs (wait_ms / 1000, wait_ms % 1000 * 1000),
+      send_again, sent);
+  return true;
+}
+
 static void
 answered (int err, long status, struct lv_slice body, void *priv)
 {
   struct sent *sent = priv;
   struct run *run = sent->run;
   uint64_t due = run->began_ns + sent->job->due_ns;
+  enum load_end end = end_of (err, status, body);
 
+  if (end == LOAD_REFUSED && retry (sent, body))
+    return;
   sent->job->response_ms = (double)(clk_now () - due) / CLK_MS;
-  sent->job->end = end_of (err, status, body);
+  sent->job->end = end;
   run->open--;
   talloc_free (sent);
 }
@@ -97,8 +145,9 @@
 }
 
 static void
-send_job (struct run *run, struct load_job *job, uint32_t number)
+send_job (struct run *run, struct load_job *job)
 {
+  uint32_t number = (uint32_t)(job - run->plan->job) + job->sends;
   const struct load_stream *st = &run->scenario->stream[job->stream];
   struct sent *sent = talloc_zero (run->ev, struct sent);
   int entry = st->entry >= 0 ? st->entry % run->entry_count
@@ -108,6 +157,8 @@
 
   sent->run = run;
   sent->job = job;
+  if (job->sends++ == 0)
+    bgt_request (&run->budget[job->stream]);
   run->open++;
   hcl_send (run->client, "POST", url, lv_slice_of (body), ANSWER_TIMEOUT_MS,
             answered, sent);
@@ -142,7 +193,7 @@
   while (run->next < plan->jobs
          && run->began_ns + plan->job[run->next].due_ns <= clk_now ())
     {
-      send_job (run, &plan->job[run->next], run->next);
+      send_job (run, &plan->job[run->next]);
       run->next++;
     }
   if (run->next < plan->jobs)
@@ -194,6 +245,8 @@
   else
     {
       run.client = hcl_new (run.ev, run.ev, CONNECTIONS);
+      for (uint32_t i = 0; i < scenario.streams; i++)
+        bgt_init (&run.budget[i]);
       for (int i = 0; i < entries->count; i++)
         run.entries[run.entry_count++] = entries->sval[i];
       run_scenario (&run);
--- a/tools/load.h
+++ b/tools/load.h
@@ -48,7 +48,8 @@
  * @entry: the only entry it goes to, -1 for all in turn
  * @start_s: first arrival
  * @stop_s: last arrival, 0 for the end
- * @cancel_share: share of the jobs that are cancelled at once
+ * @retries: how often a job that was refused is sent again
+ * @budget: whether a retry budget bounds that
  */
 struct load_stream
 {
@@ -65,6 +66,8 @@
   double stop_s;
   uint32_t deadline_ms;
   uint32_t out_bytes;
+  uint32_t retries;
+  bool budget;
   struct load_kind kind[LOAD_KINDS_MAX];
   uint32_t kinds;
 };
@@ -104,6 +107,7 @@
   double response_ms;
   double reference_ms; /* waiting included, in a central queue by arrival */
   enum load_end end;
+  uint32_t sends;
 };
 
 /** struct load_plan - all arrivals of a run. */
--- a/tools/load_report.c
+++ b/tools/load_report.c
@@ -20,7 +20,7 @@
   size_t ratios;
   size_t refusals;
   double good_task_ms;
-  double longest_ratio;
+  uint32_t sends;
 };
 
 static bool
@@ -50,6 +50,7 @@
       if (!counts (s, job, stream))
         continue;
       sum->jobs++;
+      sum->sends += job->sends;
       sum->count[job->end]++;
       if (job->end == LOAD_REFUSED)
         sum->refusal_ms[sum->refusals++] = job->response_ms;
@@ -109,6 +110,8 @@
   jsx_add (json, "failed", json_object_new_int ((int)sum->count[LOAD_FAILED]));
   jsx_add (json, "no_answer",
            json_object_new_int ((int)sum->count[LOAD_NO_ANSWER]));
+  add_number (json, "sends_per_job",
+              sum->jobs > 0 ? (double)sum->sends / sum->jobs : NAN);
   add_number (json, "p50", quantile (sum->ratio, sum->ratios, 0.5));
   add_number (json, "p90", quantile (sum->ratio, sum->ratios, 0.9));
   add_number (json, "p99", quantile (sum->ratio, sum->ratios, 0.99));
--- a/tools/load_scenario.c
+++ b/tools/load_scenario.c
@@ -73,6 +73,8 @@
   st->stop_s = number (json, "stop_s", 0);
   st->deadline_ms = (uint32_t)number (json, "deadline_ms", 0);
   st->out_bytes = (uint32_t)number (json, "out_bytes", 0);
+  st->retries = (uint32_t)number (json, "retries", 0);
+  st->budget = number (json, "budget", 1) > 0;
   if (read_urgency (st, json) != 0 || st->name[0] == '\0'
       || st->team[0] == '\0' || (st->load <= 0) == (st->rate <= 0)
       || st->tasks_min < 1 || st->tasks_max > REQ_TASKS_MAX
