Each agent is told its part of the entitled work; bursts end at three quarters

Every agent was told of all entitled tasks, so eleven agents gave slots for the same few, and the entry's own flood took the rest; the more counts as entitled, the more is given in vain. Ways: each agent is told a share of the entitled tasks, rounded up; the margin is back.

--- a/include/lagoonvale/queue.h
+++ b/include/lagoonvale/queue.h
@@ -33,6 +33,8 @@
 #define QUE_URGENCIES 3
 /** Time in which a use of slots fades from memory, ns; see share.h. */
 #define QUE_MEMORY_NS 10000000000ULL
+/** Part of its share that a team used lately, below which it may burst. */
+#define QUE_BURST_BELOW 0.75
 /** Estimate buckets in a flow, half octaves from 2^22 ns (4 ms). */
 #define QUE_BUCKETS 24
 
--- a/src/entry_link.c
+++ b/src/entry_link.c
@@ -253,21 +253,30 @@
     link->leaving = true;
 }
 
+/* An agent's part of the tasks that are entitled to a slot: were each told of
+   all, each would give that many, to the loss of other entries.  */
+static uint32_t
+part_of_entitled (const struct ent_entry *e, uint32_t entitled)
+{
+  return (entitled + e->link_count - 1) / e->link_count;
+}
+
 static void
 send_beat (struct ent_link *link, uint32_t queued, uint64_t now_ns)
 {
   struct ent_entry *e = link->entry;
+  uint32_t entitled = (uint32_t)que_entitled (&e->queue, now_ns);
   lvp_beat beat;
 
   beat.queued = queued;
-  beat.entitled = (u_int)que_entitled (&e->queue, now_ns);
+  beat.entitled = part_of_entitled (e, entitled);
   beat.urgency = que_most_urgent (&e->queue);
   beat.work = (u_int)e->worker_queue.count;
   beat.roster = e->roster.offset;
   beat.rules = e->force_version;
   link->beat_ns = now_ns;
   link->demand = queued;
-  link->entitled = beat.entitled;
+  link->entitled = entitled;
   link->work = beat.work;
   onc_call (link->conn, LVP_BEAT, (xdrproc_t)xdr_lvp_beat, &beat, on_beat,
             link);
--- a/src/queue.c
+++ b/src/queue.c
@@ -260,7 +260,8 @@
 
   if ((double)t->use.running < share)
     return WITHIN_SHARE;
-  if (q->memory_ns > 0 && shr_lately (&t->use, now_ns, q->memory_ns) < share)
+  if (q->memory_ns > 0
+      && shr_lately (&t->use, now_ns, q->memory_ns) < QUE_BURST_BELOW * share)
     return IN_BURST;
   return BEYOND_SHARE;
 }
@@ -279,7 +280,7 @@
     return WITHIN_SHARE;
   if (q->memory_ns > 0
       && flow_use (f, shr_lately (&f->use, now_ns, q->memory_ns)) * factors
-             < shr_lately (&t->use, now_ns, q->memory_ns))
+             < QUE_BURST_BELOW * shr_lately (&t->use, now_ns, q->memory_ns))
     return IN_BURST;
   return BEYOND_SHARE;
 }
