--- a/src/agent.h
+++ b/src/agent.h
@@ -7,7 +7,8 @@
  * one and starts tasks that declare resources there.
  *
  *   agent.c          life of the process: ticks, leaving, wiring
- *   agent_session.c  connections from entries and their calls
+ *   agent_session.c  connections from entries, heartbeats, credits
+ *   agent_calls.c    starts, resolves, fences and keys
  *   agent_run.c      tasks that run, and who waits for them
  *   agent_worker.c   the worker that this agent keeps under a lease
  *   agent_member.c   the membership stream
@@ -221,6 +222,12 @@
 /** agt_done() - whether a leaving agent has nothing left to do. */
 bool agt_done (const struct agt_agent *a);
 
+/** Calls of entries, answered on their session. */
+void agt_on_start (struct agt_session *s, uint32_t xid, XDR *args);
+void agt_on_resolve (struct agt_session *s, uint32_t xid, XDR *args);
+void agt_on_fence (struct agt_session *s, uint32_t xid, XDR *args);
+void agt_on_bind (struct agt_session *s, uint32_t xid, XDR *args);
+
 /** agt_listen() - accept entries. Return: 0 or a negative error number. */
 int agt_listen (struct agt_agent *a);
 
