--- a/include/lagoonvale/turn.h
+++ b/include/lagoonvale/turn.h
@@ -42,6 +42,9 @@
 /** trn_tick() - pass the turn on if it was used or held for too long. */
 void trn_tick (struct trn_turns *t, uint64_t now_ns);
 
+/** trn_wanted() - whether any entry has tasks that wait for room. */
+bool trn_wanted (const struct trn_turns *t);
+
 /** trn_may() - may the entry at @place be told of free room? */
 bool trn_may (const struct trn_turns *t, unsigned place);
 
--- a/src/agent_worker.c
+++ b/src/agent_worker.c
@@ -109,6 +109,15 @@
   tevent_schedule_immediate (w->tell, a->ev, tell, a);
 }
 
+/* While nobody waits for room, the next tick is soon enough: that is one
+   message for all that changed until then.  */
+static void
+tell_if_wanted (struct agt_agent *a)
+{
+  if (trn_wanted (&a->worker.turns))
+    tell_soon (a);
+}
+
 void
 agt_worker_wanted (struct agt_session *s, uint32_t n)
 {
@@ -250,7 +259,7 @@
   rom_take (&believed, need);
   s->told.free = wir_size (&believed);
   trn_used (&w->turns, (unsigned)s->place);
-  tell_soon (a);
+  tell_if_wanted (a);
   return true;
 }
 
@@ -258,7 +267,7 @@
 agt_worker_release (struct agt_agent *a, const struct rom_size *need)
 {
   rom_release (&a->worker.room, need, clk_now ());
-  tell_soon (a);
+  tell_if_wanted (a);
 }
 
 static struct json_object *
--- a/src/turn.c
+++ b/src/turn.c
@@ -47,6 +47,12 @@
     pass_on (t, now_ns);
 }
 
+bool
+trn_wanted (const struct trn_turns *t)
+{
+  return count_waiting (t) > 0;
+}
+
 bool
 trn_may (const struct trn_turns *t, unsigned place)
 {
--- a/tests/unit/workers_test.cc
+++ b/tests/unit/workers_test.cc
@@ -118,7 +118,9 @@
   struct trn_turns t = {};
   EXPECT_TRUE (trn_may (&t, 0));
   EXPECT_TRUE (trn_may (&t, 9));
+  EXPECT_FALSE (trn_wanted (&t));
   trn_want (&t, 3, true, kMs);
+  EXPECT_TRUE (trn_wanted (&t));
   EXPECT_TRUE (trn_may (&t, 3));
   EXPECT_FALSE (trn_may (&t, 9)) << "3 waits alone";
   trn_want (&t, 9, true, kMs);
