--- a/src/agent_calls.c
+++ b/src/agent_calls.c
@@ -287,4 +287,3 @@
   onc_reply (s->conn, xid, (xdrproc_t)xdr_lvp_bind_res, &res);
   WIR_FREE (lvp_bind, &call);
 }
-
