Test: give the first caller's thread time to end

Cause: found by reading: the check that the first task had ended asked for its caller's thread at the very moment when the second's answer came. Ruled out: a weaker check (beside the first, the second ends a second and a half before it, and the wait is one second). Before: passed in each run so far. After: passes. Conclusion: no verdict depends on the order in which two threads wake.

--- a/tests/process/test_workers.py
+++ b/tests/process/test_workers.py
@@ -167,6 +167,8 @@
         second = Caller(c, 0, work(1, 50, 1, 65536))
         self.assertEqual(second.result(), "complete")
         self.assertGreater(time.monotonic() - began, 0.5)
+        # Beside the second, the first would have gone on for a second more.
+        first.join(1)
         self.assertFalse(first.is_alive(), "it started beside the first")
         self.judge(c, [first, second])
 
