--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES = libtalloc-dev libtevent-dev libtirpc-dev libmicrohttpd-dev \
   libcurl4-openssl-dev libargtable2-dev liblog4c-dev liburcu-dev \
   libgtest-dev libjson-c-dev libgsl-dev libxxhash-dev uthash-dev \
-  pkg-config python3 gcc g++ make
+  nettle-dev   pkg-config python3 gcc g++ make
 CHECK_PACKAGES = clang-format clang-tidy cppcheck
 
 CC = gcc
@@ -11,27 +11,31 @@
 B ?= build
 SAN ?=
 PKGS = talloc tevent libtirpc libmicrohttpd libcurl argtable2 log4c \
-  liburcu-bp liburcu-cds json-c gsl libxxhash
+  liburcu-bp liburcu-cds json-c gsl libxxhash nettle
 CFLAGS ?= -O2 -g
 WARN = -Wall -Wextra -Wno-unused-parameter -Wshadow -Wstrict-prototypes
 PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
 PKG_LIBS = $(shell pkg-config --libs $(PKGS))
 ALL_CFLAGS = -std=gnu11 $(CFLAGS) $(SAN) $(WARN) -D_GNU_SOURCE -Iinclude \
-  -Isrc $(PKG_CFLAGS) -MMD -MP -pthread
-ALL_CXXFLAGS = -std=c++17 $(CFLAGS) $(SAN) -Wall -Iinclude -Isrc \
+  -Isrc -Iplatform $(PKG_CFLAGS) -MMD -MP -pthread
+ALL_CXXFLAGS = -std=c++17 $(CFLAGS) $(SAN) -Wall -Iinclude -Isrc -Iplatform \
   $(PKG_CFLAGS) -MMD -MP -pthread
 LIBS = $(PKG_LIBS) -lm -pthread
 
 LIB_SRC = $(wildcard src/*.c)
 LIB_OBJ = $(LIB_SRC:%.c=$(B)/%.o)
 PROGRAMS = $(B)/lagoonvale-entry $(B)/lagoonvale-agent $(B)/lagoonvale \
-  $(B)/lagoonvale-load
+  $(B)/lagoonvale-load $(B)/lagoonvale-dispatcher $(B)/lagoonvale-runner
+PFM_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard platform/pfm_*.c))
 UNIT_SRC = $(wildcard tests/unit/*.cc)
 UNIT_OBJ = $(UNIT_SRC:%.cc=$(B)/%.o)
 
-.PHONY: all deps check-deps demo demo-up demo-down check unit lint \
+.PHONY: all deployed deps check-deps demo demo-up demo-down check unit lint \
   format format-check sanitize sanitize-threads fuzz mutants bench install clean
 
+# What deploy/system.toml builds: the programs of the platform, nothing else.
+deployed: $(B)/lagoonvale-dispatcher $(B)/lagoonvale-runner
+
 all: $(PROGRAMS) $(B)/example-queue $(B)/slopes
 
 $(B)/liblagoonvale.a: $(LIB_OBJ)
@@ -58,6 +62,12 @@
 $(B)/lagoonvale-load: $(B)/tools/load.o $(B)/tools/load_scenario.o \
   $(B)/tools/load_report.o $(B)/liblagoonvale.a
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
+$(B)/lagoonvale-dispatcher: $(B)/platform/dispatcher_main.o $(PFM_OBJ) \
+  $(B)/liblagoonvale.a
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
+$(B)/lagoonvale-runner: $(B)/platform/runner_main.o $(PFM_OBJ) \
+  $(B)/liblagoonvale.a
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $(B)/slopes: $(B)/tools/slopes.o $(B)/liblagoonvale.a
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $(B)/example-queue: $(B)/examples/queue.o $(B)/liblagoonvale.a
@@ -96,7 +106,7 @@
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 
 SOURCES = $(filter-out src/lvproto.h src/lvproto_xdr.c, \
-  $(wildcard src/*.[ch] include/lagoonvale/*.h daemons/*.[ch] cli/*.[ch] \
+  $(wildcard src/*.[ch] platform/*.[ch] include/lagoonvale/*.h daemons/*.[ch] cli/*.[ch] \
   tools/*.[ch] examples/*.c tests/model/*.c))
 TIDY_SOURCES = $(filter %.c,$(SOURCES))
 
@@ -106,10 +116,10 @@
 	clang-format --dry-run -Werror $(SOURCES)
 lint: check-deps
 	clang-tidy --quiet $(TIDY_SOURCES) -- -std=gnu11 -D_GNU_SOURCE \
-	  -Iinclude -Isrc $(PKG_CFLAGS) 2>/dev/null
+	  -Iinclude -Isrc -Iplatform $(PKG_CFLAGS) 2>/dev/null
 	cppcheck --quiet --error-exitcode=1 --std=c11 --enable=warning,portability \
 	  --inline-suppr --suppress=missingInclude --suppress=uninitvar \
-	  --suppress=ctuuninitvar --suppress=unknownMacro -Iinclude -Isrc \
+	  --suppress=ctuuninitvar --suppress=unknownMacro -Iinclude -Isrc -Iplatform \
 	  $(TIDY_SOURCES)
 
 # Unit tests and a part of the process tests under ASan and UBSan.
--- /dev/null
+++ b/include/lagoonvale/amount.h
@@ -0,0 +1,54 @@
+/**
+ * DOC: amount
+ *
+ * Processors, memory and accelerators that a task needs or that a backend
+ * server has.  Pure.
+ */
+#ifndef LV_AMOUNT_H
+#define LV_AMOUNT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** struct amt_amount - an amount of each resource */
+struct amt_amount
+{
+  uint32_t mcores; /* thousandths of a core */
+  uint32_t memory_mb;
+  uint32_t accelerators;
+};
+
+/** amt_fits() - whether @need fits into @have. */
+static inline bool
+amt_fits (const struct amt_amount *have, const struct amt_amount *need)
+{
+  return need->mcores <= have->mcores && need->memory_mb <= have->memory_mb
+         && need->accelerators <= have->accelerators;
+}
+
+/** amt_less() - @a - @b, no lower than 0. */
+static inline uint32_t
+amt_less (uint32_t a, uint32_t b)
+{
+  return a > b ? a - b : 0;
+}
+
+/** amt_take() - subtract @need from @have, down to nothing. */
+static inline void
+amt_take (struct amt_amount *have, const struct amt_amount *need)
+{
+  have->mcores = amt_less (have->mcores, need->mcores);
+  have->memory_mb = amt_less (have->memory_mb, need->memory_mb);
+  have->accelerators = amt_less (have->accelerators, need->accelerators);
+}
+
+/** amt_add() - add @more to @have. */
+static inline void
+amt_add (struct amt_amount *have, const struct amt_amount *more)
+{
+  have->mcores += more->mcores;
+  have->memory_mb += more->memory_mb;
+  have->accelerators += more->accelerators;
+}
+
+#endif
--- a/proto/lvproto.x
+++ b/proto/lvproto.x
@@ -176,6 +176,143 @@
   lvp_bytes members;		/* JSON array of membership records */
 };
 
+/* Jobs whose tasks declare resources: an agent joins each entry, says what its
+   backend server has free, and takes orders while the entry confirms its
+   reports.  docs/PLATFORM.md, "Chain of leases".  */
+
+const LVP_ENTRIES_MAX = 64;
+const LVP_RUNS_MAX = 4096;
+const LVP_QUEUES_MAX = 65536;
+
+struct lvp_amount
+{
+  unsigned int mcores;		/* thousandths of a core */
+  unsigned int memory_mb;
+  unsigned int accelerators;
+};
+
+struct lvp_endpoint
+{
+  unsigned int addr;		/* IPv4, host byte order */
+  unsigned int port;
+};
+
+typedef lvp_endpoint lvp_endpoints<LVP_ENTRIES_MAX>;
+
+struct lvp_report
+{
+  unsigned hyper stamp_ms;	/* agent's clock; orders echo the newest */
+  bool synced;			/* nothing runs that the agent does not know */
+  bool accepting;
+  unsigned hyper orders;	/* of this entry, all that arrived */
+  lvp_amount total;
+  lvp_amount free;
+};
+
+struct lvp_report_res
+{
+  bool hungry;			/* tasks wait there for room */
+  lvp_endpoints entries;
+};
+
+enum lvp_how
+{
+  LVP_HOW_DONE = 0,
+  LVP_HOW_FAILED = 1,		/* ran, and failed */
+  LVP_HOW_STOPPED = 2,		/* ran or may have run, and is stopped */
+  LVP_HOW_LAPSED = 3,		/* its lease ended */
+  LVP_HOW_NO_ROOM = 4,		/* never started */
+  LVP_HOW_REFUSED = 5,		/* never started: the backend server refused */
+  LVP_HOW_OLD = 6,		/* never started: the attempt is too low */
+  LVP_HOW_LEAVING = 7,		/* never started */
+  LVP_HOW_STALE = 8,		/* never started: the order came too late */
+  LVP_HOW_STALLED = 9		/* stopped: it made no progress */
+};
+
+struct lvp_end
+{
+  unsigned hyper run;
+  lvp_how how;
+  unsigned int ran_ms;
+};
+
+typedef lvp_end lvp_end_list<LVP_RUNS_MAX>;
+
+struct lvp_ends
+{
+  lvp_end_list ends;
+  lvp_report report;
+};
+
+struct lvp_join
+{
+  lvp_name name;
+  unsigned hyper incarnation;
+  lvp_name service;
+  lvp_name domain;
+  unsigned hyper entry;		/* incarnation that @runs belong to, or 0 */
+  unsigned hyper runs<LVP_RUNS_MAX>;
+  lvp_report report;
+};
+
+struct lvp_join_res
+{
+  unsigned hyper incarnation;
+  lvp_report_res report;
+};
+
+struct lvp_run
+{
+  unsigned hyper run;		/* unique within the entry's incarnation */
+  unsigned int index;
+  unsigned int attempt;
+};
+
+struct lvp_order
+{
+  unsigned hyper stamp_ms;	/* newest stamp of the agent's reports */
+  lvp_name job;
+  lvp_bytes spec;
+  lvp_amount need;		/* of each task */
+  unsigned int estimate_ms;
+  lvp_run runs<LVP_TASKS_MAX>;
+};
+
+struct lvp_stop
+{
+  unsigned hyper runs<LVP_RUNS_MAX>;
+};
+
+struct lvp_queue
+{
+  lvp_name name;
+  lvp_name host;
+  lvp_name prefix;
+  lvp_name service;
+  unsigned int priority;
+  unsigned int attempts;
+  unsigned int timeout_ms;
+  unsigned int target_ms;
+  unsigned int slack_permille;
+};
+
+struct lvp_config
+{
+  unsigned hyper number;	/* its version, 0: none known */
+  unsigned int body_max;
+  unsigned int idle_ms;
+  lvp_queue queues<LVP_QUEUES_MAX>;
+};
+
+/* Between entries.  */
+struct lvp_peer
+{
+  lvp_endpoint self;
+  unsigned hyper incarnation;
+  unsigned hyper config;	/* version of the configuration in force */
+  lvp_endpoints entries;
+};
+
 program LVP_PROG
 {
   version LVP_V1
@@ -191,5 +328,13 @@
     lvp_forward_res LVP_FORWARD (lvp_forward) = 9;
     lvp_sync_res LVP_SYNC (unsigned hyper) = 10;
     void LVP_ROOM (lvp_room) = 11;
+    lvp_join_res LVP_JOIN (lvp_join) = 12;
+    lvp_report_res LVP_REPORT (lvp_report) = 13;
+    lvp_report_res LVP_ENDS (lvp_ends) = 14;
+    void LVP_ORDER (lvp_order) = 15;
+    void LVP_STOP (lvp_stop) = 16;
+    void LVP_HUNGRY (void) = 17;
+    lvp_peer LVP_PEER (lvp_peer) = 18;
+    lvp_config LVP_CONFIG (unsigned hyper) = 19;
   } = 1;
 } = 0x20004c56;
--- /dev/null
+++ b/src/board.c
@@ -0,0 +1,218 @@
+#include "lagoonvale/board.h"
+
+#include <stdio.h>
+#include <talloc.h>
+#include <utlist.h>
+
+#include "clock.h"
+
+void
+brd_init (struct brd_board *b, void *mem_ctx)
+{
+  memset (b, 0, sizeof *b);
+  b->mem_ctx = mem_ctx;
+  b->next_run = 1;
+}
+
+void
+brd_finish (struct brd_board *b)
+{
+  while (b->jobs != NULL)
+    brd_remove (b, b->jobs);
+}
+
+static int
+by_order (const struct brd_job *a, const struct brd_job *b)
+{
+  if (a->late != b->late)
+    return a->late ? 1 : -1;
+  if (a->start_by_ns != b->start_by_ns)
+    return a->start_by_ns < b->start_by_ns ? -1 : 1;
+  return a->priority < b->priority ? -1 : a->priority > b->priority;
+}
+
+static uint64_t
+work_of (const struct brd_job *job)
+{
+  return (uint64_t)job->need.mcores * job->estimate_ms;
+}
+
+static void
+await (struct brd_board *b, struct brd_task *task)
+{
+  struct brd_job *job = task->job;
+
+  task->state = BRD_WAITING;
+  if (job->waiting == 0)
+    DL_INSERT_INORDER (b->queue, job, by_order);
+  job->waiting++;
+  b->work_mcore_ms += work_of (job);
+}
+
+/* TASK no longer waits.  */
+static void
+leave_queue (struct brd_board *b, struct brd_task *task)
+{
+  struct brd_job *job = task->job;
+
+  job->waiting--;
+  b->work_mcore_ms -= work_of (job);
+  if (job->waiting == 0)
+    DL_DELETE (b->queue, job);
+}
+
+struct brd_job *
+brd_find (const struct brd_board *b, struct lv_slice id)
+{
+  struct brd_job *job;
+
+  HASH_FIND (hh, b->jobs, id.data, id.len, job);
+  return job;
+}
+
+static void
+set_times (struct brd_job *job, const struct brd_demand *d, uint64_t now_ns)
+{
+  uint64_t run_ns = d->estimate_ms * CLK_MS;
+
+  job->arrived_ns = now_ns;
+  job->target_ns = now_ns + d->target_ns;
+  job->start_by_ns = now_ns + clk_since (d->target_ns, run_ns);
+  job->deadline_ns = now_ns + d->patience_ns;
+}
+
+struct brd_job *
+brd_add (struct brd_board *b, const struct brd_demand *d, uint64_t now_ns)
+{
+  struct brd_job *job;
+  uint32_t i;
+
+  if (d->id.len >= BRD_ID_MAX || brd_find (b, d->id) != NULL)
+    return NULL;
+  job = talloc_zero (b->mem_ctx, struct brd_job);
+  snprintf (job->id, sizeof job->id, "%.*s", (int)d->id.len, d->id.data);
+  job->spec = talloc_memdup (job, d->spec.data, d->spec.len);
+  job->spec_len = d->spec.len;
+  job->service = talloc_strndup (job, d->service.data, d->service.len);
+  job->need = d->need;
+  job->estimate_ms = d->estimate_ms;
+  job->count = d->count;
+  job->priority = d->priority;
+  job->attempts = d->attempts;
+  job->open = d->count;
+  set_times (job, d, now_ns);
+  job->tasks = talloc_zero_array (job, struct brd_task, d->count);
+  HASH_ADD (hh, b->jobs, id[0], strlen (job->id), job);
+  for (i = 0; i < d->count; i++)
+    {
+      job->tasks[i].job = job;
+      job->tasks[i].index = i;
+      await (b, &job->tasks[i]);
+    }
+  return job;
+}
+
+static void
+forget_run (struct brd_board *b, struct brd_task *task)
+{
+  if (task->state == BRD_PLACED || task->state == BRD_DOUBTFUL)
+    HASH_DEL (b->runs, task);
+}
+
+void
+brd_remove (struct brd_board *b, struct brd_job *job)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->count; i++)
+    {
+      forget_run (b, &job->tasks[i]);
+      if (job->tasks[i].state == BRD_WAITING)
+        leave_queue (b, &job->tasks[i]);
+    }
+  HASH_DEL (b->jobs, job);
+  talloc_free (job);
+}
+
+void
+brd_sort (struct brd_board *b, uint64_t now_ns)
+{
+  struct brd_job *job;
+  bool changed = false;
+
+  for (job = b->queue; job != NULL && !job->late; job = job->next)
+    if (job->start_by_ns < now_ns)
+      job->late = changed = true;
+  if (changed)
+    DL_SORT (b->queue, by_order);
+}
+
+void
+brd_place (struct brd_board *b, struct brd_task *task, void *host,
+           uint64_t now_ns)
+{
+  leave_queue (b, task);
+  task->state = BRD_PLACED;
+  task->host = host;
+  task->placed_ns = now_ns;
+  task->attempt++;
+  task->run = b->next_run++;
+  task->job->orders++;
+  HASH_ADD (hh, b->runs, run, sizeof task->run, task);
+}
+
+struct brd_task *
+brd_run (const struct brd_board *b, uint64_t run)
+{
+  struct brd_task *task;
+
+  HASH_FIND (hh, b->runs, &run, sizeof run, task);
+  return task;
+}
+
+enum brd_verdict
+brd_done (struct brd_board *b, struct brd_task *task)
+{
+  forget_run (b, task);
+  task->state = BRD_DONE;
+  task->job->open--;
+  return task->job->open == 0 ? BRD_COMPLETE : BRD_GOING;
+}
+
+enum brd_verdict
+brd_again (struct brd_board *b, struct brd_task *task, bool failed)
+{
+  forget_run (b, task);
+  task->avoid = task->host;
+  task->host = NULL;
+  await (b, task);
+  if (failed)
+    task->failures++;
+  return task->failures >= task->job->attempts ? BRD_FAILED : BRD_GOING;
+}
+
+void
+brd_doubt (struct brd_board *b, const void *host, uint64_t until_ns)
+{
+  struct brd_task *task;
+
+  for (task = b->runs; task != NULL; task = task->hh.next)
+    if (task->host == host && task->state == BRD_PLACED)
+      {
+        task->state = BRD_DOUBTFUL;
+        task->until_ns = until_ns;
+      }
+}
+
+void
+brd_tick (struct brd_board *b, uint64_t now_ns)
+{
+  struct brd_task *task;
+  struct brd_task *next;
+
+  HASH_ITER (hh, b->runs, task, next)
+  {
+    if (task->state == BRD_DOUBTFUL && now_ns >= task->until_ns)
+      brd_again (b, task, false);
+  }
+}
--- a/src/clock.h
+++ b/src/clock.h
@@ -25,6 +25,21 @@
   return (uint64_t)t.tv_sec * CLK_S + (uint64_t)t.tv_nsec;
 }
 
+/**
+ * clk_boot() - monotonic time that goes on while the instance is suspended, ns
+ *
+ * What was believed before a pause is old afterwards, so ages of beliefs and
+ * leases are taken from this clock.
+ */
+static inline uint64_t
+clk_boot (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_BOOTTIME, &t);
+  return (uint64_t)t.tv_sec * CLK_S + (uint64_t)t.tv_nsec;
+}
+
 /**
  * clk_since() - time from @then to @now
  *
--- /dev/null
+++ b/src/dispatch.h
@@ -0,0 +1,142 @@
+/**
+ * DOC: dispatch
+ *
+ * An entry for jobs whose tasks declare what they need: takes jobs, places
+ * their tasks at agents with room, answers when all have ended.  Keeps nothing
+ * that outlives it.  What speaks to callers, and where the configuration comes
+ * from, is the owner's.
+ */
+#ifndef LV_DISPATCH_H
+#define LV_DISPATCH_H
+
+#include <gsl/gsl_rng.h>
+#include <tevent.h>
+
+#include "fleet.h"
+#include "lagoonvale/board.h"
+#include "lagoonvale/catalog.h"
+#include "lagoonvale/counter.h"
+#include "peers.h"
+#include "settings.h"
+
+/** struct dsp_settings - what the dispatcher needs of the settings file */
+struct dsp_settings
+{
+  const char *name;
+  const char *domain;
+  const char *rpc;
+  struct set_strings seeds;
+};
+
+/** enum dsp_outcome - how a job ended for its caller */
+enum dsp_outcome
+{
+  DSP_COMPLETE,
+  DSP_FAILED,  /* a task has used up its attempts */
+  DSP_REFUSED, /* nothing of it has run */
+  DSP_GAVE_UP, /* part of it may have run */
+};
+
+/**
+ * struct dsp_answer - end of a job
+ * @why: static word for logs and callers
+ * @retry_ms: when to come back, with DSP_REFUSED
+ */
+struct dsp_answer
+{
+  enum dsp_outcome outcome;
+  const char *why;
+  unsigned retry_ms;
+};
+
+/**
+ * struct dsp_job - a job that a caller hands in
+ * @queue: in force; used during the call only
+ * @patience_ms: how long the caller waits, 0 if it has not said
+ * @answer: called once, unless the job is withdrawn
+ */
+struct dsp_job
+{
+  struct lv_slice id;
+  struct lv_slice spec;
+  const struct cat_queue *queue;
+  struct amt_amount need;
+  uint32_t count;
+  uint32_t estimate_ms;
+  uint32_t patience_ms;
+  void (*answer) (const struct dsp_answer *answer, void *priv);
+  void *priv;
+};
+
+/** enum dsp_counter - the dispatcher's metrics, described in dispatch.c */
+enum dsp_counter
+{
+  DSP_JOBS,
+  DSP_JOBS_COMPLETE,
+  DSP_JOBS_FAILED,
+  DSP_JOBS_REFUSED,
+  DSP_JOBS_GAVE_UP,
+  DSP_JOBS_WITHDRAWN,
+  DSP_ORDERS,
+  DSP_TASKS_DONE,
+  DSP_TASKS_AGAIN,
+  DSP_NO_ROOM,
+  DSP_AGENTS,
+  DSP_OPEN_JOBS,
+  DSP_WAITING_MCORE_MS,
+  DSP_CONFIG_VERSION,
+  DSP_COUNTERS
+};
+
+/** struct dsp_dispatch - caller-owned */
+struct dsp_dispatch
+{
+  struct dsp_settings set;
+  struct tevent_context *ev;
+  void *mem_ctx;
+  uint64_t incarnation;
+  gsl_rng *rng;
+  struct brd_board board;
+  struct flt_fleet fleet;
+  struct per_peers peers;
+  struct cat_config *config;
+  struct tevent_immediate *pump;
+  bool pump_set;
+  struct spt_host *hosts;
+  struct flt_agent **host_agents;
+  unsigned host_cap;
+  uint64_t hungry_ns;
+  uint64_t last_tick_ns;
+  bool leaving;
+  struct ctr_set counters;
+};
+
+/** dsp_init() - listen for agents and peers. Return: 0 or an error number. */
+int dsp_init (struct dsp_dispatch *d, void *mem_ctx, struct tevent_context *ev,
+              const struct dsp_settings *settings);
+
+/** dsp_finish() - free all that dsp_init() and use have taken. */
+void dsp_finish (struct dsp_dispatch *d);
+
+/** dsp_config() - a configuration was read; put in force if it is newer. */
+void dsp_config (struct dsp_dispatch *d, struct cat_config *config,
+                 const char *source);
+
+/** dsp_ready() - whether work is taken. */
+bool dsp_ready (const struct dsp_dispatch *d);
+
+/** dsp_submit() - take a job; it may be answered before this returns. */
+void dsp_submit (struct dsp_dispatch *d, const struct dsp_job *job);
+
+/** dsp_withdraw() - the caller is gone, or cancels. Return: job was known. */
+bool dsp_withdraw (struct dsp_dispatch *d, struct lv_slice id,
+                   const char *why);
+
+/** dsp_pending() - jobs of @queue of which nothing was ordered yet. */
+unsigned dsp_pending (const struct dsp_dispatch *d,
+                      const struct cat_queue *queue);
+
+/** dsp_leave() - take no further jobs. */
+void dsp_leave (struct dsp_dispatch *d);
+
+#endif
--- /dev/null
+++ b/src/fleet.c
@@ -0,0 +1,204 @@
+#include "fleet.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <talloc.h>
+#include <utlist.h>
+
+#include "clock.h"
+#include "logline.h"
+#include "wire.h"
+
+/* Time for which a lost agent is remembered, ns.  */
+#define FORGET_NS (60 * CLK_S)
+/* Part of each new run time in the smoothed ones.  */
+#define AGENT_SMOOTH 0.1
+#define FLEET_SMOOTH 0.02
+/* Bounds of an agent's slowness.  */
+#define SLOWNESS_MIN 0.5
+#define SLOWNESS_MAX 8.0
+
+void
+flt_init (struct flt_fleet *f, void *mem_ctx)
+{
+  memset (f, 0, sizeof *f);
+  f->mem_ctx = mem_ctx;
+  f->ratio = 1;
+  est_init (&f->estimates, mem_ctx);
+}
+
+static void
+forget (struct flt_fleet *f, struct flt_agent *a)
+{
+  hlt_remove (&f->health, &a->health);
+  DL_DELETE (f->agents, a);
+  f->count--;
+  talloc_free (a);
+}
+
+void
+flt_finish (struct flt_fleet *f)
+{
+  while (f->agents != NULL)
+    forget (f, f->agents);
+  est_finish (&f->estimates);
+}
+
+struct flt_agent *
+flt_by_conn (const struct flt_fleet *f, const struct onc_conn *conn)
+{
+  struct flt_agent *a;
+
+  DL_FOREACH (f->agents, a)
+  if (a->conn == conn)
+    return a;
+  return NULL;
+}
+
+static struct flt_agent *
+find_or_add (struct flt_fleet *f, const char *name)
+{
+  struct flt_agent *a;
+
+  DL_FOREACH (f->agents, a)
+  if (strcmp (a->name, name) == 0)
+    return a;
+  a = talloc_zero (f->mem_ctx, struct flt_agent);
+  a->fleet = f;
+  a->ratio = f->ratio;
+  snprintf (a->name, sizeof a->name, "%s", name);
+  DL_APPEND (f->agents, a);
+  f->count++;
+  f->health.targets++;
+  return a;
+}
+
+struct flt_agent *
+flt_join (struct flt_fleet *f, struct onc_conn *conn, const lvp_join *join,
+          uint64_t now_ns)
+{
+  struct flt_agent *a = find_or_add (f, join->name);
+  struct onc_conn *former = a->conn;
+
+  a->conn = NULL;
+  if (former != NULL && former != conn)
+    onc_close (former, -ESTALE, "the agent has joined again");
+  a->conn = conn;
+  snprintf (a->domain, sizeof a->domain, "%s", join->domain);
+  talloc_free (a->service);
+  a->service = talloc_strdup (a, join->service);
+  a->incarnation = join->incarnation;
+  a->orders = 0;
+  a->pending_count = 0;
+  a->stamp_ms = 0;
+  flt_report (a, &join->report, now_ns);
+  return a;
+}
+
+void
+flt_report (struct flt_agent *a, const lvp_report *report, uint64_t now_ns)
+{
+  unsigned i;
+
+  if (report->stamp_ms < a->stamp_ms)
+    return;
+  a->stamp_ms = report->stamp_ms;
+  a->heard_ns = now_ns;
+  a->synced = report->synced;
+  a->accepting = report->accepting;
+  a->total = wir_to_amount (&report->total);
+  a->free = wir_to_amount (&report->free);
+  while (a->pending_count > 0
+         && a->pending[a->pending_first].order <= report->orders)
+    {
+      a->pending_first = (a->pending_first + 1) % FLT_PENDING_MAX;
+      a->pending_count--;
+    }
+  for (i = 0; i < a->pending_count; i++)
+    amt_take (&a->free,
+              &a->pending[(a->pending_first + i) % FLT_PENDING_MAX].need);
+}
+
+void
+flt_lost (struct flt_agent *a)
+{
+  a->conn = NULL;
+  a->accepting = false;
+  a->dead_by_ns = chn_dead_by (a->heard_ns);
+}
+
+void
+flt_expire (struct flt_fleet *f, uint64_t now_ns)
+{
+  struct flt_agent *a;
+  struct flt_agent *next;
+
+  DL_FOREACH_SAFE (f->agents, a, next)
+  if (a->conn == NULL && now_ns > a->dead_by_ns + FORGET_NS)
+    forget (f, a);
+}
+
+void
+flt_ordered (struct flt_agent *a, const struct amt_amount *need)
+{
+  unsigned at = (a->pending_first + a->pending_count) % FLT_PENDING_MAX;
+
+  a->orders++;
+  amt_take (&a->free, need);
+  if (a->pending_count == FLT_PENDING_MAX)
+    return;
+  a->pending[at].order = a->orders;
+  a->pending[at].need = *need;
+  a->pending_count++;
+}
+
+static void
+smooth (double *value, double sample, double part)
+{
+  *value += (sample - *value) * part;
+}
+
+void
+flt_observe (struct flt_agent *a, struct lv_slice queue, bool ok,
+             uint32_t ran_ms, uint32_t estimate_ms, uint64_t now_ns)
+{
+  struct flt_fleet *f = a->fleet;
+  double kind = est_failure_rate (&f->estimates, queue);
+
+  est_observe (&f->estimates, queue, ran_ms * CLK_MS, ok);
+  if (ok && estimate_ms > 0)
+    {
+      smooth (&a->ratio, (double)ran_ms / estimate_ms, AGENT_SMOOTH);
+      smooth (&f->ratio, (double)ran_ms / estimate_ms, FLEET_SMOOTH);
+    }
+  if (hlt_observe (&f->health, &a->health, ok, kind, now_ns))
+    log_line (LOGL_INFO, "agent-health", "agent=%s state=%s blame=%.2f",
+              a->name, hlt_name (a->health.state), a->health.blame);
+}
+
+static double
+slowness (const struct flt_agent *a)
+{
+  double s = a->fleet->ratio > 0 ? a->ratio / a->fleet->ratio : 1;
+
+  if (s < SLOWNESS_MIN)
+    return SLOWNESS_MIN;
+  return s > SLOWNESS_MAX ? SLOWNESS_MAX : s;
+}
+
+struct spt_host
+flt_host (const struct flt_agent *a, struct lv_slice service,
+          const char *domain, uint64_t now_ns)
+{
+  struct spt_host h = { 0 };
+
+  h.usable = a->conn != NULL && a->synced && a->accepting
+             && chn_fresh (a->heard_ns, now_ns)
+             && hlt_usable (&a->health, now_ns)
+             && lv_slice_eq (lv_slice_of (a->service), service);
+  h.near = strcmp (a->domain, domain) == 0;
+  h.total = a->total;
+  h.free = a->free;
+  h.slowness = slowness (a);
+  return h;
+}
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -132,6 +132,15 @@
   reap (client);
 }
 
+void
+hcl_tick (struct hcl_client *client)
+{
+  int running;
+
+  curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  reap (client);
+}
+
 static int
 timer_cb (CURLM *multi, long timeout_ms, void *priv)
 {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -46,6 +46,10 @@
                               const char *url, struct lv_slice body,
                               long timeout_ms, hcl_done_fn done, void *priv);
 
+/** hcl_tick() - let time-outs take effect although the time of day was set
+ * back; called now and then.  */
+void hcl_tick (struct hcl_client *client);
+
 /** hcl_cancel() - drop a request; @done is not called. */
 void hcl_cancel (struct hcl_request *request);
 
--- a/src/lvproto.h
+++ b/src/lvproto.h
@@ -212,6 +212,155 @@
 	lvp_bytes members;
 };
 typedef struct lvp_sync_res lvp_sync_res;
+#define LVP_ENTRIES_MAX 64
+#define LVP_RUNS_MAX 4096
+#define LVP_QUEUES_MAX 65536
+
+struct lvp_amount {
+	u_int mcores;
+	u_int memory_mb;
+	u_int accelerators;
+};
+typedef struct lvp_amount lvp_amount;
+
+struct lvp_endpoint {
+	u_int addr;
+	u_int port;
+};
+typedef struct lvp_endpoint lvp_endpoint;
+
+typedef struct {
+	u_int lvp_endpoints_len;
+	lvp_endpoint *lvp_endpoints_val;
+} lvp_endpoints;
+
+struct lvp_report {
+	u_quad_t stamp_ms;
+	bool_t synced;
+	bool_t accepting;
+	u_quad_t orders;
+	lvp_amount total;
+	lvp_amount free;
+};
+typedef struct lvp_report lvp_report;
+
+struct lvp_report_res {
+	bool_t hungry;
+	lvp_endpoints entries;
+};
+typedef struct lvp_report_res lvp_report_res;
+
+enum lvp_how {
+	LVP_HOW_DONE = 0,
+	LVP_HOW_FAILED = 1,
+	LVP_HOW_STOPPED = 2,
+	LVP_HOW_LAPSED = 3,
+	LVP_HOW_NO_ROOM = 4,
+	LVP_HOW_REFUSED = 5,
+	LVP_HOW_OLD = 6,
+	LVP_HOW_LEAVING = 7,
+	LVP_HOW_STALE = 8,
+	LVP_HOW_STALLED = 9,
+};
+typedef enum lvp_how lvp_how;
+
+struct lvp_end {
+	u_quad_t run;
+	lvp_how how;
+	u_int ran_ms;
+};
+typedef struct lvp_end lvp_end;
+
+typedef struct {
+	u_int lvp_end_list_len;
+	lvp_end *lvp_end_list_val;
+} lvp_end_list;
+
+struct lvp_ends {
+	lvp_end_list ends;
+	lvp_report report;
+};
+typedef struct lvp_ends lvp_ends;
+
+struct lvp_join {
+	lvp_name name;
+	u_quad_t incarnation;
+	lvp_name service;
+	lvp_name domain;
+	u_quad_t entry;
+	struct {
+		u_int runs_len;
+		u_quad_t *runs_val;
+	} runs;
+	lvp_report report;
+};
+typedef struct lvp_join lvp_join;
+
+struct lvp_join_res {
+	u_quad_t incarnation;
+	lvp_report_res report;
+};
+typedef struct lvp_join_res lvp_join_res;
+
+struct lvp_run {
+	u_quad_t run;
+	u_int index;
+	u_int attempt;
+};
+typedef struct lvp_run lvp_run;
+
+struct lvp_order {
+	u_quad_t stamp_ms;
+	lvp_name job;
+	lvp_bytes spec;
+	lvp_amount need;
+	u_int estimate_ms;
+	struct {
+		u_int runs_len;
+		lvp_run *runs_val;
+	} runs;
+};
+typedef struct lvp_order lvp_order;
+
+struct lvp_stop {
+	struct {
+		u_int runs_len;
+		u_quad_t *runs_val;
+	} runs;
+};
+typedef struct lvp_stop lvp_stop;
+
+struct lvp_queue {
+	lvp_name name;
+	lvp_name host;
+	lvp_name prefix;
+	lvp_name service;
+	u_int priority;
+	u_int attempts;
+	u_int timeout_ms;
+	u_int target_ms;
+	u_int slack_permille;
+};
+typedef struct lvp_queue lvp_queue;
+
+struct lvp_config {
+	u_quad_t number;
+	u_int body_max;
+	u_int idle_ms;
+	struct {
+		u_int queues_len;
+		lvp_queue *queues_val;
+	} queues;
+};
+typedef struct lvp_config lvp_config;
+
+struct lvp_peer {
+	lvp_endpoint self;
+	u_quad_t incarnation;
+	u_quad_t config;
+	lvp_endpoints entries;
+};
+typedef struct lvp_peer lvp_peer;
 
 #define LVP_PROG 0x20004c56
 #define LVP_V1 1
@@ -250,6 +399,30 @@
 #define LVP_ROOM 11
 extern  void * lvp_room_1(lvp_room , CLIENT *);
 extern  void * lvp_room_1_svc(lvp_room , struct svc_req *);
+#define LVP_JOIN 12
+extern  lvp_join_res * lvp_join_1(lvp_join , CLIENT *);
+extern  lvp_join_res * lvp_join_1_svc(lvp_join , struct svc_req *);
+#define LVP_REPORT 13
+extern  lvp_report_res * lvp_report_1(lvp_report , CLIENT *);
+extern  lvp_report_res * lvp_report_1_svc(lvp_report , struct svc_req *);
+#define LVP_ENDS 14
+extern  lvp_report_res * lvp_ends_1(lvp_ends , CLIENT *);
+extern  lvp_report_res * lvp_ends_1_svc(lvp_ends , struct svc_req *);
+#define LVP_ORDER 15
+extern  void * lvp_order_1(lvp_order , CLIENT *);
+extern  void * lvp_order_1_svc(lvp_order , struct svc_req *);
+#define LVP_STOP 16
+extern  void * lvp_stop_1(lvp_stop , CLIENT *);
+extern  void * lvp_stop_1_svc(lvp_stop , struct svc_req *);
+#define LVP_HUNGRY 17
+extern  void * lvp_hungry_1(CLIENT *);
+extern  void * lvp_hungry_1_svc(struct svc_req *);
+#define LVP_PEER 18
+extern  lvp_peer * lvp_peer_1(lvp_peer , CLIENT *);
+extern  lvp_peer * lvp_peer_1_svc(lvp_peer , struct svc_req *);
+#define LVP_CONFIG 19
+extern  lvp_config * lvp_config_1(u_quad_t , CLIENT *);
+extern  lvp_config * lvp_config_1_svc(u_quad_t , struct svc_req *);
 extern int lvp_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -286,6 +459,30 @@
 #define LVP_ROOM 11
 extern  void * lvp_room_1();
 extern  void * lvp_room_1_svc();
+#define LVP_JOIN 12
+extern  lvp_join_res * lvp_join_1();
+extern  lvp_join_res * lvp_join_1_svc();
+#define LVP_REPORT 13
+extern  lvp_report_res * lvp_report_1();
+extern  lvp_report_res * lvp_report_1_svc();
+#define LVP_ENDS 14
+extern  lvp_report_res * lvp_ends_1();
+extern  lvp_report_res * lvp_ends_1_svc();
+#define LVP_ORDER 15
+extern  void * lvp_order_1();
+extern  void * lvp_order_1_svc();
+#define LVP_STOP 16
+extern  void * lvp_stop_1();
+extern  void * lvp_stop_1_svc();
+#define LVP_HUNGRY 17
+extern  void * lvp_hungry_1();
+extern  void * lvp_hungry_1_svc();
+#define LVP_PEER 18
+extern  lvp_peer * lvp_peer_1();
+extern  lvp_peer * lvp_peer_1_svc();
+#define LVP_CONFIG 19
+extern  lvp_config * lvp_config_1();
+extern  lvp_config * lvp_config_1_svc();
 extern int lvp_prog_1_freeresult ();
 #endif /* K&R C */
 
@@ -316,6 +513,23 @@
 extern  bool_t xdr_lvp_forward (XDR *, lvp_forward*);
 extern  bool_t xdr_lvp_forward_res (XDR *, lvp_forward_res*);
 extern  bool_t xdr_lvp_sync_res (XDR *, lvp_sync_res*);
+extern  bool_t xdr_lvp_amount (XDR *, lvp_amount*);
+extern  bool_t xdr_lvp_endpoint (XDR *, lvp_endpoint*);
+extern  bool_t xdr_lvp_endpoints (XDR *, lvp_endpoints*);
+extern  bool_t xdr_lvp_report (XDR *, lvp_report*);
+extern  bool_t xdr_lvp_report_res (XDR *, lvp_report_res*);
+extern  bool_t xdr_lvp_how (XDR *, lvp_how*);
+extern  bool_t xdr_lvp_end (XDR *, lvp_end*);
+extern  bool_t xdr_lvp_end_list (XDR *, lvp_end_list*);
+extern  bool_t xdr_lvp_ends (XDR *, lvp_ends*);
+extern  bool_t xdr_lvp_join (XDR *, lvp_join*);
+extern  bool_t xdr_lvp_join_res (XDR *, lvp_join_res*);
+extern  bool_t xdr_lvp_run (XDR *, lvp_run*);
+extern  bool_t xdr_lvp_order (XDR *, lvp_order*);
+extern  bool_t xdr_lvp_stop (XDR *, lvp_stop*);
+extern  bool_t xdr_lvp_queue (XDR *, lvp_queue*);
+extern  bool_t xdr_lvp_config (XDR *, lvp_config*);
+extern  bool_t xdr_lvp_peer (XDR *, lvp_peer*);
 
 #else /* K&R C */
 extern bool_t xdr_lvp_bytes ();
@@ -342,6 +556,23 @@
 extern bool_t xdr_lvp_forward ();
 extern bool_t xdr_lvp_forward_res ();
 extern bool_t xdr_lvp_sync_res ();
+extern bool_t xdr_lvp_amount ();
+extern bool_t xdr_lvp_endpoint ();
+extern bool_t xdr_lvp_endpoints ();
+extern bool_t xdr_lvp_report ();
+extern bool_t xdr_lvp_report_res ();
+extern bool_t xdr_lvp_how ();
+extern bool_t xdr_lvp_end ();
+extern bool_t xdr_lvp_end_list ();
+extern bool_t xdr_lvp_ends ();
+extern bool_t xdr_lvp_join ();
+extern bool_t xdr_lvp_join_res ();
+extern bool_t xdr_lvp_run ();
+extern bool_t xdr_lvp_order ();
+extern bool_t xdr_lvp_stop ();
+extern bool_t xdr_lvp_queue ();
+extern bool_t xdr_lvp_config ();
+extern bool_t xdr_lvp_peer ();
 
 #endif /* K&R C */
 
--- a/src/lvproto_xdr.c
+++ b/src/lvproto_xdr.c
@@ -414,3 +414,320 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_lvp_amount (XDR *xdrs, lvp_amount *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->mcores))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->memory_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->accelerators))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lvp_endpoint (XDR *xdrs, lvp_endpoint *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->addr))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->port))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lvp_endpoints (XDR *xdrs, lvp_endpoints *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->lvp_endpoints_val, (u_int *) &objp->lvp_endpoints_len, LVP_ENTRIES_MAX,
+		sizeof (lvp_endpoint), (xdrproc_t) xdr_lvp_endpoint))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lvp_report (XDR *xdrs, lvp_report *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->stamp_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->synced))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->accepting))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->orders))
+		 return FALSE;
+	 if (!xdr_lvp_amount (xdrs, &objp->total))
+		 return FALSE;
+	 if (!xdr_lvp_amount (xdrs, &objp->free))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lvp_report_res (XDR *xdrs, lvp_report_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->hungry))
+		 return FALSE;
+	 if (!xdr_lvp_endpoints (xdrs, &objp->entries))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lvp_how (XDR *xdrs, lvp_how *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lvp_end (XDR *xdrs, lvp_end *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->run))
+		 return FALSE;
+	 if (!xdr_lvp_how (xdrs, &objp->how))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ran_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lvp_end_list (XDR *xdrs, lvp_end_list *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->lvp_end_list_val, (u_int *) &objp->lvp_end_list_len, LVP_RUNS_MAX,
+		sizeof (lvp_end), (xdrproc_t) xdr_lvp_end))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lvp_ends (XDR *xdrs, lvp_ends *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lvp_end_list (xdrs, &objp->ends))
+		 return FALSE;
+	 if (!xdr_lvp_report (xdrs, &objp->report))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lvp_join (XDR *xdrs, lvp_join *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lvp_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_lvp_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_lvp_name (xdrs, &objp->domain))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->entry))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->runs.runs_val, (u_int *) &objp->runs.runs_len, LVP_RUNS_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_lvp_report (xdrs, &objp->report))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lvp_join_res (XDR *xdrs, lvp_join_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_lvp_report_res (xdrs, &objp->report))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lvp_run (XDR *xdrs, lvp_run *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->run))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lvp_order (XDR *xdrs, lvp_order *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->stamp_ms))
+		 return FALSE;
+	 if (!xdr_lvp_name (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_lvp_bytes (xdrs, &objp->spec))
+		 return FALSE;
+	 if (!xdr_lvp_amount (xdrs, &objp->need))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->estimate_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->runs.runs_val, (u_int *) &objp->runs.runs_len, LVP_TASKS_MAX,
+		sizeof (lvp_run), (xdrproc_t) xdr_lvp_run))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lvp_stop (XDR *xdrs, lvp_stop *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->runs.runs_val, (u_int *) &objp->runs.runs_len, LVP_RUNS_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lvp_queue (XDR *xdrs, lvp_queue *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_lvp_name (xdrs, &objp->name))
+			 return FALSE;
+		 if (!xdr_lvp_name (xdrs, &objp->host))
+			 return FALSE;
+		 if (!xdr_lvp_name (xdrs, &objp->prefix))
+			 return FALSE;
+		 if (!xdr_lvp_name (xdrs, &objp->service))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->attempts))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->timeout_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slack_permille))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->priority);
+			IXDR_PUT_U_LONG(buf, objp->attempts);
+			IXDR_PUT_U_LONG(buf, objp->timeout_ms);
+			IXDR_PUT_U_LONG(buf, objp->target_ms);
+			IXDR_PUT_U_LONG(buf, objp->slack_permille);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_lvp_name (xdrs, &objp->name))
+			 return FALSE;
+		 if (!xdr_lvp_name (xdrs, &objp->host))
+			 return FALSE;
+		 if (!xdr_lvp_name (xdrs, &objp->prefix))
+			 return FALSE;
+		 if (!xdr_lvp_name (xdrs, &objp->service))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->attempts))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->timeout_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slack_permille))
+				 return FALSE;
+		} else {
+			objp->priority = IXDR_GET_U_LONG(buf);
+			objp->attempts = IXDR_GET_U_LONG(buf);
+			objp->timeout_ms = IXDR_GET_U_LONG(buf);
+			objp->target_ms = IXDR_GET_U_LONG(buf);
+			objp->slack_permille = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_lvp_name (xdrs, &objp->name))
+		 return FALSE;
+	 if (!xdr_lvp_name (xdrs, &objp->host))
+		 return FALSE;
+	 if (!xdr_lvp_name (xdrs, &objp->prefix))
+		 return FALSE;
+	 if (!xdr_lvp_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempts))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->timeout_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->target_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slack_permille))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lvp_config (XDR *xdrs, lvp_config *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->body_max))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->idle_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->queues.queues_val, (u_int *) &objp->queues.queues_len, LVP_QUEUES_MAX,
+		sizeof (lvp_queue), (xdrproc_t) xdr_lvp_queue))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lvp_peer (XDR *xdrs, lvp_peer *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lvp_endpoint (xdrs, &objp->self))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config))
+		 return FALSE;
+	 if (!xdr_lvp_endpoints (xdrs, &objp->entries))
+		 return FALSE;
+	return TRUE;
+}
--- /dev/null
+++ b/src/web.h
@@ -0,0 +1,76 @@
+/**
+ * DOC: web
+ *
+ * An HTTP server by libmicrohttpd that runs inside a tevent loop, without a
+ * thread of its own.  A request may be answered at once or later; its owner
+ * is told if the caller goes away first.
+ */
+#ifndef LV_WEB_H
+#define LV_WEB_H
+
+#include <stdbool.h>
+#include <tevent.h>
+
+#include "lagoonvale/slice.h"
+
+struct web_server;
+struct web_request;
+
+/**
+ * struct web_call - what a caller asks for; borrowed until the answer
+ * @method: "GET", "POST", ...
+ * @path: without the query
+ * @body: whole body
+ */
+struct web_call
+{
+  const char *method;
+  const char *path;
+  struct lv_slice body;
+};
+
+/**
+ * typedef web_handler_fn - a whole request has arrived
+ * @r: to be answered by web_answer(), now or later
+ */
+typedef void (*web_handler_fn) (struct web_request *r,
+                                const struct web_call *call, void *priv);
+
+/**
+ * web_listen() - serve on "IP:PORT"
+ * @mem_ctx: talloc parent of the server
+ * @body_max: longest body accepted, bytes; a longer one is answered with 413
+ * @idle_s: after which an idle connection is closed
+ * @rc: set to a negative error number if NULL is returned
+ */
+struct web_server *web_listen (void *mem_ctx, struct tevent_context *ev,
+                               const char *listen, size_t body_max,
+                               unsigned idle_s, web_handler_fn handler,
+                               void *priv, int *rc);
+
+/** web_closing() - each connection is closed after its next answer. */
+void web_closing (struct web_server *s);
+
+/** web_open() - requests whose answer has not been handed over yet. */
+unsigned web_open (const struct web_server *s);
+
+/** web_header() - value of a header, or NULL. */
+const char *web_header (const struct web_request *r, const char *name);
+
+/**
+ * web_on_gone() - call @gone if the caller goes away before the answer
+ *
+ * @gone must not answer; the request is invalid when it returns.
+ */
+void web_on_gone (struct web_request *r, void (*gone) (void *priv),
+                  void *priv);
+
+/**
+ * web_answer() - answer a request, which is invalid afterwards
+ * @type: content type
+ * @retry_after_s: for the header Retry-After, 0 for none
+ */
+void web_answer (struct web_request *r, unsigned status, const char *type,
+                 struct lv_slice body, unsigned retry_after_s);
+
+#endif
--- a/src/webstat.c
+++ b/src/webstat.c
@@ -71,3 +71,20 @@
   if (s->daemon != NULL)
     MHD_stop_daemon (s->daemon);
 }
+
+void
+wst_handle (struct web_request *r, const struct web_call *call, void *priv)
+{
+  char *text;
+
+  if (strcmp (call->path, "/metrics") != 0)
+    {
+      web_answer (r, MHD_HTTP_NOT_FOUND, "text/plain",
+                  lv_slice_of ("not found\n"), 0);
+      return;
+    }
+  text = ctr_text (NULL, priv);
+  web_answer (r, MHD_HTTP_OK, "text/plain; version=0.0.4",
+              lv_slice_of (text), 0);
+  talloc_free (text);
+}
--- a/src/webstat.h
+++ b/src/webstat.h
@@ -11,6 +11,7 @@
 #include <stdbool.h>
 
 #include "lagoonvale/counter.h"
+#include "web.h"
 
 struct MHD_Daemon;
 
@@ -33,4 +34,8 @@
 /** wst_finish() - stop serving. */
 void wst_finish (struct wst_server *s);
 
+/** wst_handle() - GET /metrics on a web server; @priv is a struct ctr_set. */
+void wst_handle (struct web_request *r, const struct web_call *call,
+                 void *priv);
+
 #endif
--- a/src/wire.h
+++ b/src/wire.h
@@ -6,6 +6,7 @@
 #ifndef LV_WIRE_H
 #define LV_WIRE_H
 
+#include "lagoonvale/amount.h"
 #include "lagoonvale/room.h"
 #include "lagoonvale/sid.h"
 #include "lagoonvale/slice.h"
@@ -53,6 +54,22 @@
   return s;
 }
 
+/** wir_amount() - message form of @a. */
+static inline lvp_amount
+wir_amount (const struct amt_amount *a)
+{
+  lvp_amount out = { a->mcores, a->memory_mb, a->accelerators };
+  return out;
+}
+
+/** wir_to_amount() - library form of @in. */
+static inline struct amt_amount
+wir_to_amount (const lvp_amount *in)
+{
+  struct amt_amount a = { in->mcores, in->memory_mb, in->accelerators };
+  return a;
+}
+
 /** wir_bytes() - message form of borrowed bytes. */
 static inline lvp_bytes
 wir_bytes (struct lv_slice s)
