--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -437,6 +437,7 @@
                       .estimate_ms = job->estimate_ms,
                       .runs = { count, runs } };
 
+  flt_ordered (a, &job->need, count);
   ctr_add (&d->counters, DSP_ORDERS, count);
   log_line (LOGL_DEBUG, "place",
             "job=%s agent=%s tasks=%u first=%u free_mcores=%u report_ms=%llu",
@@ -503,7 +504,7 @@
         break;
       waiting--;
       brd_place (&d->board, task, d->host_agents[at], now);
-      flt_ordered (d->host_agents[at], &job->need);
+      amt_take (&d->host_agents[at]->free, &job->need);
       hlt_probe (&d->host_agents[at]->health);
       d->hosts[at] = flt_host (d->host_agents[at], lv_slice_of (job->service),
                                d->set.domain, clk_boot ());
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -99,6 +99,7 @@
 flt_report (struct flt_agent *a, const lvp_report *report, uint64_t now_ns)
 {
   unsigned i;
+  uint32_t n;
 
   if (report->stamp_ms < a->stamp_ms)
     return;
@@ -115,8 +116,13 @@
       a->pending_count--;
     }
   for (i = 0; i < a->pending_count; i++)
-    amt_take (&a->free,
-              &a->pending[(a->pending_first + i) % FLT_PENDING_MAX].need);
+    {
+      const struct flt_pending *p
+          = &a->pending[(a->pending_first + i) % FLT_PENDING_MAX];
+
+      for (n = 0; n < p->count; n++)
+        amt_take (&a->free, &p->need);
+    }
 }
 
 void
@@ -139,16 +145,17 @@
 }
 
 void
-flt_ordered (struct flt_agent *a, const struct amt_amount *need)
+flt_ordered (struct flt_agent *a, const struct amt_amount *need,
+             uint32_t count)
 {
   unsigned at = (a->pending_first + a->pending_count) % FLT_PENDING_MAX;
 
   a->orders++;
-  amt_take (&a->free, need);
   if (a->pending_count == FLT_PENDING_MAX)
     return;
   a->pending[at].order = a->orders;
   a->pending[at].need = *need;
+  a->pending[at].count = count;
   a->pending_count++;
 }
 
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -25,6 +25,7 @@
 {
   uint64_t order;
   struct amt_amount need;
+  uint32_t count;
 };
 
 /**
@@ -103,8 +104,10 @@
 /** flt_expire() - forget lost agents whose runs have ended long ago. */
 void flt_expire (struct flt_fleet *f, uint64_t now_ns);
 
-/** flt_ordered() - an order for @need was sent to @agent. */
-void flt_ordered (struct flt_agent *agent, const struct amt_amount *need);
+/** flt_ordered() - an order for @count times @need is sent to @agent; its
+ * room was taken from @free when it was placed. */
+void flt_ordered (struct flt_agent *agent, const struct amt_amount *need,
+                  uint32_t count);
 
 /** flt_observe() - a run ended at @agent. */
 void flt_observe (struct flt_agent *agent, struct lv_slice queue, bool ok,
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -177,6 +177,8 @@
   curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
   curl_multi_setopt (client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                      connections);
+  /* Otherwise libcurl keeps four for each request that is under way.  */
+  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, connections);
   talloc_set_destructor (client, destroy_client);
   return client;
 }
--- a/src/runner.c
+++ b/src/runner.c
@@ -15,7 +15,7 @@
 #include "wire.h"
 
 #define TICK_MS 25
-/* Time for which a look waits for an end, ms; the lease is renewed at each.  */
+/* Time for which a look waits for an end, ms; the lease is renewed at each. */
 #define LOOK_WAIT_MS 100
 /* A minion whose last answer is older than this is given no work, ns.  */
 #define SEEN_NS (450 * CLK_MS)
@@ -41,8 +41,7 @@
   { "lagoonvale_runs_failed_total", "runs ended as failed", false },
   { "lagoonvale_runs_stopped_total", "runs stopped", false },
   { "lagoonvale_runs_lapsed_total", "runs whose lease lapsed", false },
-  { "lagoonvale_runs_refused_total", "starts that the minion refused",
-    false },
+  { "lagoonvale_runs_refused_total", "starts that the minion refused", false },
   { "lagoonvale_runs_no_room_total", "orders refused for want of room",
     false },
   { "lagoonvale_runs_stale_total", "orders that came too late", false },
@@ -234,8 +233,8 @@
       rnb_started (&r->book, run, clk_boot ());
       break;
     case MNN_UNANSWERED:
-      log_line (LOGL_INFO, "start-unanswered", "task=%s attempt=%u",
-                run->name, run->attempt);
+      log_line (LOGL_INFO, "start-unanswered", "task=%s attempt=%u", run->name,
+                run->attempt);
       rnb_stop (&r->book, run, clk_boot ());
       break;
     case MNN_OLD:
@@ -286,11 +285,10 @@
   uint64_t ran_ns = clk_since (clk_boot (), run->ordered_ns);
 
   count_end (r, how);
-  if (how != RNB_DONE)
-    log_line (LOGL_INFO, "run-end",
-              "task=%s attempt=%u how=%d ran_ms=%llu percent=%u", run->name,
-              run->attempt, how, (unsigned long long)(ran_ns / CLK_MS),
-              run->percent);
+  log_line (how == RNB_DONE ? LOGL_DEBUG : LOGL_INFO, "run-end",
+            "task=%s attempt=%u how=%d ran_ms=%llu percent=%u", run->name,
+            run->attempt, how, (unsigned long long)(ran_ns / CLK_MS),
+            run->percent);
   if (run->owner != 0)
     keep_end (r, run->owner, run->number, hows[how],
               (uint32_t)(ran_ns / CLK_MS));
@@ -490,8 +488,8 @@
   if (view->incarnation != m->incarnation)
     minion_reborn (r, view);
   rnb_list_ends (&r->book, view->ends, view->end_count);
-  rnb_list_running (&r->book, view->running, view->running_count,
-                    m->looked_ns, now);
+  rnb_list_running (&r->book, view->running, view->running_count, m->looked_ns,
+                    now);
   if (view->ends_through > m->ends_through)
     m->ends_through = view->ends_through;
   m->seen_ns = now;
@@ -518,6 +516,11 @@
 
   r->minion.looking = false;
   note_result (r, &view->result);
+  log_line (LOGL_DEBUG, "look", "answer=%d took_ms=%llu ends=%u running=%u",
+            view->result.answer,
+            (unsigned long long)(clk_since (clk_boot (), r->minion.looked_ns)
+                                 / CLK_MS),
+            view->end_count, view->running_count);
   if (view->result.answer == MNN_OK)
     see_minion (r, view);
   else if (view->result.answer == MNN_ABSENT)
@@ -585,8 +588,7 @@
               "job=%s tasks=%u why=%s stamp_age_ms=%llu confirmed_age_ms=%llu",
               order->job, order->runs.runs_len, fresh ? "leaving" : "stale",
               (unsigned long long)(now / CLK_MS - order->stamp_ms),
-              (unsigned long long)(clk_since (now, s->confirmed_ns)
-                                   / CLK_MS));
+              (unsigned long long)(clk_since (now, s->confirmed_ns) / CLK_MS));
   for (i = 0; i < order->runs.runs_len; i++)
     if (fresh && open)
       start_run (r, s, order, &order->runs.runs_val[i], now);
