--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -626,12 +626,20 @@
   return d->config != NULL ? d->config->version : 0;
 }
 
+void
+dsp_seeds (struct dsp_dispatch *d, const struct set_strings *seeds)
+{
+  unsigned i;
+
+  for (i = 0; i < seeds->count; i++)
+    per_add_text (&d->peers, seeds->item[i], clk_boot ());
+}
+
 int
 dsp_init (struct dsp_dispatch *d, void *mem_ctx, struct tevent_context *ev,
           const struct dsp_settings *settings)
 {
   struct per_events events = { peer_config, config_version, d };
-  unsigned i;
   int rc;
 
   memset (d, 0, sizeof *d);
@@ -651,8 +659,8 @@
     rc = net_serve (mem_ctx, ev, settings->rpc, accepted, d);
   if (rc == 0)
     rc = tck_start (mem_ctx, ev, TICK_MS, tick, d);
-  for (i = 0; rc == 0 && i < settings->seeds.count; i++)
-    per_add_text (&d->peers, settings->seeds.item[i], clk_boot ());
+  if (rc == 0)
+    dsp_seeds (d, &settings->seeds);
   return rc;
 }
 
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -118,6 +118,9 @@
 /** dsp_finish() - free all that dsp_init() and use have taken. */
 void dsp_finish (struct dsp_dispatch *d);
 
+/** dsp_seeds() - entries may be at these addresses, "IP:PORT". */
+void dsp_seeds (struct dsp_dispatch *d, const struct set_strings *seeds);
+
 /** dsp_config() - a configuration was read; put in force if it is newer. */
 void dsp_config (struct dsp_dispatch *d, struct cat_config *config,
                  const char *source);
--- a/src/runner.c
+++ b/src/runner.c
@@ -842,14 +842,32 @@
   log_flush ();
 }
 
+void
+rnr_seeds (struct rnr_runner *r, const struct set_strings *seeds)
+{
+  struct sockaddr_in address;
+  lvp_endpoint at;
+  unsigned i;
+
+  for (i = 0; i < seeds->count; i++)
+    {
+      if (net_parse (&address, seeds->item[i]) != 0)
+        {
+          log_line (LOGL_WARN, "bad-seed", "text=%.60s", seeds->item[i]);
+          continue;
+        }
+      at.addr = ntohl (address.sin_addr.s_addr);
+      at.port = ntohs (address.sin_port);
+      add_session (r, &at);
+    }
+}
+
 int
 rnr_init (struct rnr_runner *r, void *mem_ctx, struct tevent_context *ev,
           const struct rnr_settings *settings, const struct mnn_ops *ops,
           void *ops_priv)
 {
   struct rnb_events events = { run_ended, order_stop, r };
-  struct sockaddr_in address;
-  unsigned i;
 
   memset (r, 0, sizeof *r);
   r->set = *settings;
@@ -865,16 +883,7 @@
       = chn_lease_end (clk_boot (), settings->lease_max_ms * CLK_MS);
   rnb_init (&r->book, mem_ctx, &events);
   ctr_init (&r->counters, descs, RNR_COUNTERS);
-  for (i = 0; i < settings->seeds.count; i++)
-    {
-      lvp_endpoint at;
-
-      if (net_parse (&address, settings->seeds.item[i]) != 0)
-        return -EINVAL;
-      at.addr = ntohl (address.sin_addr.s_addr);
-      at.port = ntohs (address.sin_port);
-      add_session (r, &at);
-    }
+  rnr_seeds (r, &settings->seeds);
   tick (r);
   return tck_start (mem_ctx, ev, TICK_MS, tick, r);
 }
--- a/src/runner.h
+++ b/src/runner.h
@@ -98,6 +98,9 @@
 /** rnr_finish() - free the book. */
 void rnr_finish (struct rnr_runner *r);
 
+/** rnr_seeds() - entries may be at these addresses, "IP:PORT". */
+void rnr_seeds (struct rnr_runner *r, const struct set_strings *seeds);
+
 /**
  * rnr_minion_report() - the minion says how it is
  * Return: whether the report may be acknowledged; if it says that the minion
