--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
   -Isrc -Iplatform $(PKG_CFLAGS) -MMD -MP -pthread
 ALL_CXXFLAGS = -std=c++17 $(CFLAGS) $(SAN) -Wall -Iinclude -Isrc -Iplatform \
   $(PKG_CFLAGS) -MMD -MP -pthread
-LIBS = $(PKG_LIBS) -lm -pthread
+LIBS = -Wl,--as-needed $(PKG_LIBS) -lm -pthread
 
 LIB_SRC = $(wildcard src/*.c)
 LIB_OBJ = $(LIB_SRC:%.c=$(B)/%.o)
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -17,6 +17,9 @@
 #define HUNGRY_GAP_NS (20 * CLK_MS)
 /* Jobs at the head of the queue that are tried when the first does not fit.  */
 #define TRY_JOBS 12
+/* Time after the start for which callers are let in although no agent has
+   joined yet: agents are there sooner than the next health check.  */
+#define START_NS (1500 * CLK_MS)
 /* What a caller is told to wait when nothing better is known, ms.  */
 #define RETRY_MS 1000
 
@@ -647,6 +650,7 @@
   d->ev = ev;
   d->mem_ctx = mem_ctx;
   d->incarnation = rnd_u64 ();
+  d->started_ns = clk_boot ();
   d->rng = gsl_rng_alloc (gsl_rng_taus2);
   gsl_rng_set (d->rng, (unsigned long)d->incarnation);
   d->pump = tevent_create_immediate (mem_ctx);
@@ -697,7 +701,7 @@
   DL_FOREACH (d->fleet.agents, a)
   if (a->conn != NULL && a->accepting)
     return true;
-  return false;
+  return clk_since (clk_boot (), d->started_ns) < START_NS;
 }
 
 static void
@@ -816,3 +820,9 @@
 {
   d->leaving = true;
 }
+
+void
+dsp_close (struct dsp_dispatch *d)
+{
+  d->closed = true;
+}
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -106,7 +106,8 @@
   struct flt_agent **host_agents;
   unsigned host_cap;
   uint64_t hungry_ns;
-  uint64_t last_tick_ns;
+  uint64_t started_ns;
+  bool closed;
   bool leaving;
   struct ctr_set counters;
 };
@@ -139,7 +140,10 @@
 unsigned dsp_pending (const struct dsp_dispatch *d,
                       const struct cat_queue *queue);
 
-/** dsp_leave() - take no further jobs. */
+/** dsp_leave() - tell health checks that this entry leaves. */
 void dsp_leave (struct dsp_dispatch *d);
 
+/** dsp_close() - take no further jobs. */
+void dsp_close (struct dsp_dispatch *d);
+
 #endif
--- a/src/peers.c
+++ b/src/peers.c
@@ -15,6 +15,8 @@
 #define EXCHANGE_NS (200 * CLK_MS)
 /* An exchange without an answer for this long ends the connection, ns.  */
 #define SILENT_NS (800 * CLK_MS)
+/* A connection that is not open after this long is tried anew, ns.  */
+#define CONNECT_NS (100 * CLK_MS)
 /* Time between two attempts to connect, ns.  */
 #define DIAL_NS (100 * CLK_MS)
 /* An address that has not answered for this long is forgotten, ns.  */
@@ -283,6 +285,16 @@
   exchange (peer, now_ns);
 }
 
+static bool
+silent (const struct per_peer *peer, uint64_t now_ns)
+{
+  bool open = onc_last_sent (peer->conn) != 0;
+
+  return peer->asking
+         && clk_since (now_ns, peer->sent_ns)
+                >= (open ? SILENT_NS : CONNECT_NS);
+}
+
 static void
 tick_peer (struct per_peer *peer, uint64_t now_ns)
 {
@@ -294,7 +306,7 @@
         dial (peer, now_ns);
       return;
     }
-  if (peer->asking && clk_since (now_ns, peer->sent_ns) >= SILENT_NS)
+  if (silent (peer, now_ns))
     onc_close (peer->conn, -ETIMEDOUT, "no answer to an exchange");
   else if (!peer->asking && clk_since (now_ns, peer->sent_ns) >= EXCHANGE_NS)
     exchange (peer, now_ns);
--- a/src/runner.c
+++ b/src/runner.c
@@ -21,6 +21,9 @@
 #define SEEN_NS (450 * CLK_MS)
 /* Time between two attempts to reach an entry, ns.  */
 #define DIAL_NS (50 * CLK_MS)
+/* A connection that is not open after this long is tried anew, ns: what was
+   sent to an instance without power is lost.  */
+#define CONNECT_NS (100 * CLK_MS)
 /* A join without an answer for this long is begun anew, ns.  */
 #define JOIN_NS (500 * CLK_MS)
 /* An address that has not answered for this long is forgotten, ns.  */
@@ -770,7 +773,9 @@
     }
   else if (!s->joined)
     {
-      if (clk_since (now_ns, s->dialed_ns) >= JOIN_NS)
+      bool open = onc_last_sent (s->conn) != 0;
+
+      if (clk_since (now_ns, s->dialed_ns) >= (open ? JOIN_NS : CONNECT_NS))
         onc_close (s->conn, -ETIMEDOUT, "no answer to a join");
     }
   else if (!chn_fresh (s->confirmed_ns, now_ns))
