--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -596,6 +596,37 @@
     onc_close (a->conn, -ETIMEDOUT, "no report in time");
 }
 
+/* One line a second: what there is and what waits.  */
+static void
+log_load (struct dsp_dispatch *d, uint64_t now_ns)
+{
+  struct amt_amount total = { 0 };
+  struct amt_amount left = { 0 };
+  const struct flt_agent *a;
+  unsigned open = 0;
+
+  if (clk_since (now_ns, d->logged_ns) < CLK_S)
+    return;
+  d->logged_ns = now_ns;
+  DL_FOREACH (d->fleet.agents, a)
+  {
+    if (a->conn == NULL || !a->accepting)
+      continue;
+    open++;
+    amt_add (&total, &a->total);
+    amt_add (&left, &a->free);
+  }
+  log_line (LOGL_INFO, "load",
+            "agents=%u accepting=%u total_mcores=%u free_mcores=%u jobs=%u "
+            "waiting_mcore_ms=%llu orders=%llu no_room=%llu complete=%llu",
+            d->fleet.count, open, total.mcores, left.mcores,
+            HASH_COUNT (d->board.jobs),
+            (unsigned long long)d->board.work_mcore_ms,
+            (unsigned long long)ctr_read (&d->counters, DSP_ORDERS),
+            (unsigned long long)ctr_read (&d->counters, DSP_NO_ROOM),
+            (unsigned long long)ctr_read (&d->counters, DSP_JOBS_COMPLETE));
+}
+
 static void
 tick (void *priv)
 {
@@ -609,6 +640,7 @@
   flt_expire (&d->fleet, now);
   if (d->board.queue != NULL)
     pump_soon (d);
+  log_load (d, now);
   ctr_set_gauge (&d->counters, DSP_AGENTS, d->fleet.count);
   ctr_set_gauge (&d->counters, DSP_OPEN_JOBS, HASH_COUNT (d->board.jobs));
   ctr_set_gauge (&d->counters, DSP_WAITING_MCORE_MS, d->board.work_mcore_ms);
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -107,6 +107,7 @@
   unsigned host_cap;
   uint64_t hungry_ns;
   uint64_t started_ns;
+  uint64_t logged_ns;
   bool closed;
   bool leaving;
   struct ctr_set counters;
