--- a/src/runner.c
+++ b/src/runner.c
@@ -16,7 +16,7 @@
 
 #define TICK_MS 25
 /* Time for which a look waits for an end, ms; the lease is renewed at each. */
-#define LOOK_WAIT_MS 100
+#define LOOK_WAIT_MS 50
 /* A minion whose last answer is older than this is given no work, ns.  */
 #define SEEN_NS (450 * CLK_MS)
 /* Time between two attempts to reach an entry, ns.  */
