--- a/src/board.c
+++ b/src/board.c
@@ -26,6 +26,8 @@
 {
   if (a->late != b->late)
     return a->late ? 1 : -1;
+  if (a->priority != b->priority)
+    return a->priority < b->priority ? -1 : 1;
   if (a->start_by_ns != b->start_by_ns)
     return a->start_by_ns < b->start_by_ns ? -1 : 1;
   return a->priority < b->priority ? -1 : a->priority > b->priority;
