--- a/include/lagoonvale/board.h
+++ b/include/lagoonvale/board.h
@@ -149,7 +149,8 @@
 /** brd_finish() - free all jobs. */
 void brd_finish (struct brd_board *b);
 
-/** brd_add() - a job arrives. Return: it, or NULL if its id is on the board. */
+/** brd_add() - a job arrives. Return: it, or NULL if its id is on the board.
+ */
 struct brd_job *brd_add (struct brd_board *b, const struct brd_demand *d,
                          uint64_t now_ns);
 
--- a/include/lagoonvale/spot.h
+++ b/include/lagoonvale/spot.h
@@ -14,7 +14,8 @@
 
 /**
  * struct spt_host - what an entry knows of one agent
- * @usable: connected, fit, of the job's service
+ * @serves: of the job's service, whether it takes orders just now or not
+ * @usable: it takes orders: connected, fit, of the job's service
  * @near: in the entry's own failure domain
  * @total: of its backend server
  * @free: as last reported, less what was ordered since
@@ -22,6 +23,7 @@
  */
 struct spt_host
 {
+  bool serves;
   bool usable;
   bool near;
   struct amt_amount total;
@@ -40,7 +42,8 @@
 int spt_choose (const struct spt_host *hosts, unsigned count,
                 const struct amt_amount *need, int avoid, double spread);
 
-/** spt_possible() - whether any usable host could hold @need when empty. */
+/** spt_possible() - whether any host of the service could hold @need when
+ * empty. */
 bool spt_possible (const struct spt_host *hosts, unsigned count,
                    const struct amt_amount *need);
 
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -15,7 +15,7 @@
 #define TICK_MS 25
 /* Least time between two calls that tell agents of waiting work, ns.  */
 #define HUNGRY_GAP_NS (20 * CLK_MS)
-/* Jobs at the head of the queue that are tried when the first does not fit.  */
+/* Jobs at the head of the queue that are tried when the first does not fit. */
 #define TRY_JOBS 12
 /* Time after the start for which callers are let in although no agent has
    joined yet: agents are there sooner than the next health check.  */
@@ -93,11 +93,10 @@
 static void
 count_answer (struct dsp_dispatch *d, const struct dsp_answer *answer)
 {
-  static const enum dsp_counter ids[]
-      = { [DSP_COMPLETE] = DSP_JOBS_COMPLETE,
-          [DSP_FAILED] = DSP_JOBS_FAILED,
-          [DSP_REFUSED] = DSP_JOBS_REFUSED,
-          [DSP_GAVE_UP] = DSP_JOBS_GAVE_UP };
+  static const enum dsp_counter ids[] = { [DSP_COMPLETE] = DSP_JOBS_COMPLETE,
+                                          [DSP_FAILED] = DSP_JOBS_FAILED,
+                                          [DSP_REFUSED] = DSP_JOBS_REFUSED,
+                                          [DSP_GAVE_UP] = DSP_JOBS_GAVE_UP };
 
   ctr_add (&d->counters, ids[answer->outcome], 1);
 }
@@ -135,9 +134,8 @@
 static bool
 never_started (lvp_how how)
 {
-  return how == LVP_HOW_NO_ROOM || how == LVP_HOW_REFUSED
-         || how == LVP_HOW_OLD || how == LVP_HOW_LEAVING
-         || how == LVP_HOW_STALE;
+  return how == LVP_HOW_NO_ROOM || how == LVP_HOW_REFUSED || how == LVP_HOW_OLD
+         || how == LVP_HOW_LEAVING || how == LVP_HOW_STALE;
 }
 
 /* Whether an end of this kind speaks against the backend server.  */
@@ -175,8 +173,7 @@
             task->index, task->attempt, a->name, end->how, end->ran_ms);
   if (never_started (end->how))
     job->orders--;
-  verdict (d, job,
-           brd_again (&d->board, task, end->how == LVP_HOW_FAILED));
+  verdict (d, job, brd_again (&d->board, task, end->how == LVP_HOW_FAILED));
 }
 
 /* A run is known to be over for a reason that nobody is blamed for.  */
@@ -247,9 +244,8 @@
   log_line (LOGL_INFO, "agent-joined",
             "agent=%s incarnation=%llx runs=%u synced=%d accepting=%d "
             "total_mcores=%u free_mcores=%u",
-            a->name, (unsigned long long)a->incarnation,
-            join.runs.runs_len, a->synced, a->accepting, a->total.mcores,
-            a->free.mcores);
+            a->name, (unsigned long long)a->incarnation, join.runs.runs_len,
+            a->synced, a->accepting, a->total.mcores, a->free.mcores);
   reconcile (d, a, &join);
   WIR_FREE (lvp_join, &join);
   res.incarnation = d->incarnation;
@@ -364,13 +360,11 @@
 {
   flt_lost (a);
   brd_doubt (&d->board, a, a->dead_by_ns);
-  log_line (LOGL_INFO, "agent-lost",
-            "agent=%s why=\"%s\" heard_ms=%llu runs_end_in_ms=%llu", a->name,
-            why,
-            (unsigned long long)(clk_since (clk_boot (), a->heard_ns)
-                                 / CLK_MS),
-            (unsigned long long)(clk_since (a->dead_by_ns, clk_boot ())
-                                 / CLK_MS));
+  log_line (
+      LOGL_INFO, "agent-lost",
+      "agent=%s why=\"%s\" heard_ms=%llu runs_end_in_ms=%llu", a->name, why,
+      (unsigned long long)(clk_since (clk_boot (), a->heard_ns) / CLK_MS),
+      (unsigned long long)(clk_since (a->dead_by_ns, clk_boot ()) / CLK_MS));
 }
 
 static void
@@ -442,11 +436,11 @@
 
   flt_ordered (a, &job->need, count);
   ctr_add (&d->counters, DSP_ORDERS, count);
-  log_line (LOGL_DEBUG, "place",
-            "job=%s agent=%s tasks=%u first=%u free_mcores=%u report_ms=%llu",
-            job->id, a->name, count, runs[0].index, a->free.mcores,
-            (unsigned long long)(clk_since (clk_boot (), a->heard_ns)
-                                 / CLK_MS));
+  log_line (
+      LOGL_DEBUG, "place",
+      "job=%s agent=%s tasks=%u first=%u free_mcores=%u report_ms=%llu",
+      job->id, a->name, count, runs[0].index, a->free.mcores,
+      (unsigned long long)(clk_since (clk_boot (), a->heard_ns) / CLK_MS));
   onc_call (a->conn, LVP_ORDER, (xdrproc_t)xdr_lvp_order, &order, NULL, NULL);
 }
 
@@ -466,14 +460,14 @@
       if (job->tasks[i].state != BRD_PLACED || job->tasks[i].run < first_run)
         continue;
       for (j = 0; j < i; j++)
-        if (job->tasks[j].state == BRD_PLACED
-            && job->tasks[j].run >= first_run && agent_of (&job->tasks[j]) == a)
+        if (job->tasks[j].state == BRD_PLACED && job->tasks[j].run >= first_run
+            && agent_of (&job->tasks[j]) == a)
           break;
       if (j < i)
         continue;
       for (; j < job->count; j++)
-        if (job->tasks[j].state == BRD_PLACED
-            && job->tasks[j].run >= first_run && agent_of (&job->tasks[j]) == a)
+        if (job->tasks[j].state == BRD_PLACED && job->tasks[j].run >= first_run
+            && agent_of (&job->tasks[j]) == a)
           {
             runs[n].run = job->tasks[j].run;
             runs[n].index = job->tasks[j].index;
@@ -501,8 +495,8 @@
 
       if (task->state != BRD_WAITING)
         continue;
-      at = spt_choose (d->hosts, n, &job->need,
-                       index_of (d, n, task->avoid), gsl_rng_uniform (d->rng));
+      at = spt_choose (d->hosts, n, &job->need, index_of (d, n, task->avoid),
+                       gsl_rng_uniform (d->rng));
       if (at < 0)
         break;
       waiting--;
@@ -719,8 +713,8 @@
     return;
   ctr_set_gauge (&d->counters, DSP_CONFIG_VERSION, d->config->version);
   log_line (LOGL_INFO, "config", "version=%llu before=%llu queues=%u from=%s",
-            (unsigned long long)d->config->version,
-            (unsigned long long)before, d->config->count, source);
+            (unsigned long long)d->config->version, (unsigned long long)before,
+            d->config->count, source);
 }
 
 bool
@@ -770,6 +764,17 @@
   return demand;
 }
 
+/* Whether an agent that is known could hold a task of JOB when empty.  Shortly
+   after the start agents may be missing.  */
+static bool
+can_hold (struct dsp_dispatch *d, const struct dsp_job *job)
+{
+  unsigned n = list_hosts (d, lv_slice_of (job->queue->service));
+
+  return clk_since (clk_boot (), d->started_ns) < START_NS
+         || spt_possible (d->hosts, n, &job->need);
+}
+
 /* The same job is sent again while it runs: the newer caller gets its end.  */
 static void
 take_over (struct dsp_dispatch *d, struct brd_job *taken,
@@ -799,6 +804,11 @@
       take_over (d, taken, job, demand.patience_ns);
       return;
     }
+  if (!can_hold (d, job))
+    {
+      refuse (d, job, "no-agent-fits");
+      return;
+    }
   taken = brd_add (&d->board, &demand, clk_now ());
   if (taken == NULL)
     {
@@ -810,12 +820,13 @@
   caller->priv = job->priv;
   caller->queue = talloc_strdup (caller, job->queue->name);
   taken->priv = caller;
-  log_line (LOGL_DEBUG, "job", "job=%s queue=%s tasks=%u mcores=%u "
+  log_line (LOGL_DEBUG, "job",
+            "job=%s queue=%s tasks=%u mcores=%u "
             "estimate_ms=%u target_ms=%llu patience_ms=%u config=%llu",
             taken->id, caller->queue, taken->count, taken->need.mcores,
             taken->estimate_ms,
-            (unsigned long long)(demand.target_ns / CLK_MS),
-            job->patience_ms, (unsigned long long)config_version (d));
+            (unsigned long long)(demand.target_ns / CLK_MS), job->patience_ms,
+            (unsigned long long)config_version (d));
   pump_soon (d);
 }
 
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -199,10 +199,10 @@
 {
   struct spt_host h = { 0 };
 
-  h.usable = a->conn != NULL && a->synced && a->accepting
+  h.serves = lv_slice_eq (lv_slice_of (a->service), service);
+  h.usable = h.serves && a->conn != NULL && a->synced && a->accepting
              && chn_fresh (a->heard_ns, now_ns)
-             && hlt_usable (&a->health, now_ns)
-             && lv_slice_eq (lv_slice_of (a->service), service);
+             && hlt_usable (&a->health, now_ns);
   h.near = strcmp (a->domain, domain) == 0;
   h.total = a->total;
   h.free = a->free;
--- a/src/peers.c
+++ b/src/peers.c
@@ -126,8 +126,7 @@
 static struct cat_config *
 config_of (void *mem_ctx, const lvp_config *in)
 {
-  struct cat_config *c
-      = cat_new (mem_ctx, in->number, in->queues.queues_len);
+  struct cat_config *c = cat_new (mem_ctx, in->number, in->queues.queues_len);
   uint32_t i;
 
   c->body_max = in->body_max;
@@ -261,8 +260,8 @@
 
   (void)conn;
   if (peer->heard_ns != 0)
-    log_line (LOGL_INFO, "peer-lost", "peer=%s code=%d why=\"%s\"",
-              peer->text, err->code, err->detail);
+    log_line (LOGL_INFO, "peer-lost", "peer=%s code=%d why=\"%s\"", peer->text,
+              err->code, err->detail);
   peer->conn = NULL;
   peer->asking = false;
   peer->heard_ns = 0;
@@ -369,8 +368,8 @@
   for (i = 0; i < config->count; i++)
     {
       const struct cat_queue *q = &config->queues[i];
-      lvp_queue to = { q->name,     q->host,     q->prefix,
-                       q->service,  q->priority, q->attempts,
+      lvp_queue to = { q->name,       q->host,      q->prefix,
+                       q->service,    q->priority,  q->attempts,
                        q->timeout_ms, q->target_ms, q->slack_permille };
 
       out.queues.queues_val[i] = to;
--- a/src/runbook.c
+++ b/src/runbook.c
@@ -35,10 +35,7 @@
   struct rnb_run *run;
   struct rnb_run *next;
 
-  HASH_ITER (hh, b->runs, run, next)
-  {
-    drop (b, run);
-  }
+  HASH_ITER (hh, b->runs, run, next) { drop (b, run); }
 }
 
 static void
@@ -231,10 +228,7 @@
   struct rnb_run *run;
   struct rnb_run *next;
 
-  HASH_ITER (hh, b->runs, run, next)
-  {
-    end (b, run, RNB_LAPSED);
-  }
+  HASH_ITER (hh, b->runs, run, next) { end (b, run, RNB_LAPSED); }
 }
 
 static bool
--- a/src/runner.h
+++ b/src/runner.h
@@ -60,8 +60,8 @@
   uint64_t room_incarnation; /* whose room is known, 0: none */
   uint64_t sequence;         /* of its last report */
   bool leaving;
-  uint64_t clock_ms; /* its clock, when last told */
-  uint64_t clock_ns; /* clk_boot() when that arrived */
+  uint64_t clock_ms;     /* its clock, when last told */
+  uint64_t clock_ns;     /* clk_boot() when that arrived */
   uint64_t lease_end_ns; /* when all leases asked for have lapsed */
   uint64_t ends_through;
   uint64_t looked_ns; /* when the last look was sent */
--- a/src/spot.c
+++ b/src/spot.c
@@ -61,7 +61,7 @@
   unsigned i;
 
   for (i = 0; i < count; i++)
-    if (hosts[i].usable && amt_fits (&hosts[i].total, need))
+    if (hosts[i].serves && amt_fits (&hosts[i].total, need))
       return true;
   return false;
 }
--- a/src/webstat.c
+++ b/src/webstat.c
@@ -84,7 +84,7 @@
       return;
     }
   text = ctr_text (NULL, priv);
-  web_answer (r, MHD_HTTP_OK, "text/plain; version=0.0.4",
-              lv_slice_of (text), 0);
+  web_answer (r, MHD_HTTP_OK, "text/plain; version=0.0.4", lv_slice_of (text),
+              0);
   talloc_free (text);
 }
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,95 @@
+#!/usr/bin/env python3
+"""Stand-in of the platform's store: keyed topics, newest records, long reads.
+
+platform_store.py ADDRESS
+
+For tests, POST /test/put?key=K with a value appends a record to keyed.op, and
+POST /test/mode?mode=M sets how calls fare: "ok", "busy" (503), "silent" (no
+answer), "cut" (answers cut short), "gone" (reads get 410).
+"""
+import asyncio
+import base64
+import struct
+import sys
+
+from httpd import Drop, Server
+
+SILENT_S = 30
+
+
+class Store:
+    def __init__(self):
+        self.records = {}
+        self.mode = "ok"
+        self.news = asyncio.Condition()
+        self.calls = 0
+
+    async def put(self, topic, key, value):
+        async with self.news:
+            self.records.setdefault(topic, []).append((key, value))
+            self.news.notify_all()
+
+    def newest(self, topic):
+        last = {}
+        for offset, (key, value) in enumerate(self.records.get(topic, [])):
+            last[key] = (value, offset)
+        items = [{"key": k, "offset": o,
+                  "value": base64.b64encode(v).decode()}
+                 for k, (v, o) in last.items() if v]
+        return {"items": items, "has_more": False,
+                "end_offset": len(self.records.get(topic, []))}
+
+    async def read(self, topic, start, wait_ms):
+        records = self.records.setdefault(topic, [])
+        async with self.news:
+            try:
+                await asyncio.wait_for(
+                    self.news.wait_for(lambda: len(records) > start),
+                    wait_ms / 1000)
+            except asyncio.TimeoutError:
+                pass
+        out = struct.pack(">QQ", len(records), 0)
+        for key, value in records[start:]:
+            content = bytes([len(key)]) + key.encode() + value
+            out += struct.pack(">I", len(content)) + content
+        return out
+
+    async def disturb(self, path):
+        if self.mode == "busy":
+            return 503, {}
+        if self.mode == "silent":
+            await asyncio.sleep(SILENT_S)
+            raise Drop()
+        if self.mode == "gone" and path == "/log-read":
+            return 410, {"start_offset": 0}
+        return None
+
+    async def handle(self, method, path, args, body):
+        if path == "/test/put":
+            await self.put("keyed.op", args["key"], body)
+            return 200, {}
+        if path == "/test/mode":
+            self.mode = args["mode"]
+            return 200, {}
+        if path == "/test/calls":
+            return 200, {"calls": self.calls}
+        self.calls += 1
+        disturbed = await self.disturb(path)
+        if disturbed is not None:
+            return disturbed
+        if path == "/log-newest":
+            return 200, self.newest(args["topic"])
+        if path == "/log-read":
+            out = await self.read(args["topic"], int(args["from"]),
+                                  int(args.get("wait_ms", 0)))
+            return 200, out[:len(out) // 2] if self.mode == "cut" else out
+        return 404, {}
+
+
+async def main():
+    store = Store()
+    await Server(store.handle).serve(sys.argv[1])
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/tests/process/test_platform.py
@@ -0,0 +1,303 @@
+"""The platform's interfaces, with stand-ins: jobs are served, and the rules on
+runs hold under each failure.  The minions' own record is the judge."""
+import json
+import time
+import unittest
+
+from cluster import http, wait_until
+from platform_cluster import (HOST, RESEND_S, Callers, PlatformCluster, job,
+                              queue)
+
+# The platform's bounds at today's sites.
+CONFIG_APPLY_S = 2.0
+RECOVERY_S = 12.0
+LEASE_S = 1.0
+
+
+class PlatformTest(unittest.TestCase):
+    def cluster(self, **more):
+        c = PlatformCluster(**more)
+        self.addCleanup(c.close)
+        return c
+
+    def ready(self, **more):
+        c = self.cluster(**more)
+        c.await_ready()
+        return c
+
+    def check_rules(self, c):
+        self.assertEqual(c.breaks(), [])
+
+
+class Jobs(PlatformTest):
+    def test_a_job_is_answered_when_all_its_tasks_have_ended(self):
+        c = self.ready()
+        status, answer = c.submit(0, job(count=8, run_ms=80))
+        self.assertEqual((status, answer), (200, {"state": "completed"}))
+        ends = [e for e in c.events() if e["what"] == "end"]
+        self.assertGreaterEqual(len(ends), 8)
+        self.check_rules(c)
+
+    def test_a_task_that_fails_is_tried_as_often_as_allowed(self):
+        c = self.ready()
+        status, answer = c.submit(0, job(run_ms=20, fail=True), "a" * 16)
+        self.assertEqual((status, answer), (200, {"state": "failed"}))
+        starts = [e for e in c.events()
+                  if e["what"] == "start" and e["task"].startswith("a" * 16)]
+        self.assertEqual(len(starts), 3)
+
+    def test_bad_requests_get_a_clear_answer_and_lose_nothing(self):
+        c = self.ready(entries=1)
+        good = job()
+        cases = [
+            (400, b"{", "f" * 16), (400, b"[]", "f" * 16),
+            (400, {"steps": []}, "f" * 16),
+            (400, {"steps": 7}, "f" * 16),
+            (400, {"steps": [{"count": 0}]}, "f" * 16),
+            (400, {"steps": [{"count": 100000}]}, "f" * 16),
+            (400, {"steps": [{"count": -1}]}, "f" * 16),
+            (400, {"steps": [{"count": "x"}]}, "f" * 16),
+            (400, {"steps": ["x"], "best_effort": True}, "f" * 16),
+            (400, good, "not-an-id"), (400, good, "f" * 15),
+            (503, dict(good, best_effort=False), "f" * 16),
+            (503, dict(good, steps=good["steps"] * 2), "f" * 16),
+            (413, b"x" * (2 << 20), "f" * 16),
+        ]
+        for status, body, name in cases:
+            with self.subTest(body=str(body)[:60], name=name):
+                self.assertEqual(c.submit(0, body, name)[0], status)
+        for deadline in ("", "soon", "-5", "99999999999999999999"):
+            with self.subTest(deadline=deadline):
+                self.assertEqual(c.submit(0, good, wait_ms=deadline)[0], 200)
+        self.assertEqual(c.submit(0, good, prefix="/none/")[0], 404)
+        self.assertEqual(c.submit(0, good)[0], 200)
+
+    def test_what_no_agent_can_hold_is_refused_at_once(self):
+        c = self.ready()
+        time.sleep(1.5)
+        began = time.monotonic()
+        self.assertEqual(c.submit(0, job(mcores=9000000))[0], 503)
+        self.assertLess(time.monotonic() - began, 0.5)
+
+    def test_state_pending_and_cancelling(self):
+        c = self.ready(entries=1)
+        base = "http://%s/rush/" % c.addresses[0]["jobs"]
+        headers = {"Host": HOST}
+        self.assertEqual(http("GET", base, headers=headers),
+                         (200, {"pending": 0}))
+        self.assertEqual(http("GET", base + "0" * 16, headers=headers)[0], 410)
+        self.assertEqual(http("DELETE", base + "0" * 16,
+                              headers=headers)[0], 410)
+
+    def test_a_caller_that_leaves_frees_its_room(self):
+        c = self.ready(entries=1, agents=1)
+        c.submit(0, job(count=8, run_ms=2000), timeout=0.3)
+        began = time.monotonic()
+        self.assertEqual(c.submit(0, job(count=8, run_ms=50))[0], 200)
+        self.assertLess(time.monotonic() - began, 1.0)
+        self.check_rules(c)
+
+    def test_a_job_sent_twice_runs_once_at_a_time(self):
+        c = self.ready(entries=2)
+        callers = [Callers(c, workers=1, run_ms=10)]
+        for entry in (0, 0):
+            c.submit(entry, job(count=4, run_ms=400), "b" * 16, timeout=0.1)
+        time.sleep(RESEND_S)
+        self.assertEqual(c.submit(1, job(count=4, run_ms=100),
+                                  "b" * 16)[0], 200)
+        callers[0].stop()
+        self.check_rules(c)
+
+
+class Configuration(PlatformTest):
+    def test_queues_come_and_go_within_the_bound(self):
+        c = self.ready()
+        c.publish(queue("rush", "/rush/"), queue("new", "/new/"))
+        time.sleep(CONFIG_APPLY_S)
+        for i in range(2):
+            self.assertEqual(c.submit(i, job(), prefix="/new/")[0], 200)
+        c.publish(queue("rush", "/rush/"))
+        time.sleep(CONFIG_APPLY_S)
+        for i in range(2):
+            self.assertEqual(c.submit(i, job(), prefix="/new/")[0], 404)
+
+    def test_bad_configurations_change_nothing(self):
+        c = self.ready(entries=1)
+        bad = [b"{", b"[]", b"7", json.dumps({"version": 99}).encode(),
+               json.dumps({"version": 99, "routes": 3}).encode(),
+               json.dumps({"version": 99, "routes": [{}]}).encode(),
+               json.dumps({"version": "x", "routes": []}).encode()]
+        for body in bad:
+            http("POST", "http://%s/test/put?key=config" % c.store.address,
+                 body)
+        http("POST", "http://%s/test/put?key=other" % c.store.address, b"{}")
+        time.sleep(0.5)
+        self.assertEqual(c.submit(0, job())[0], 200)
+
+    def test_an_older_version_never_takes_effect(self):
+        c = self.ready(entries=1)
+        c.publish(queue("rush", "/rush/"), queue("new", "/new/"))
+        c.version -= 6
+        c.publish(queue("rush", "/rush/"))
+        time.sleep(1.0)
+        self.assertEqual(c.submit(0, job(), prefix="/new/")[0], 200)
+
+    def test_an_entry_without_configuration_refuses(self):
+        c = self.cluster(entries=1, configured=False)
+        self.assertTrue(wait_until(lambda: c.submit(0, job())[0] == 503))
+
+    def test_what_the_store_refuses_comes_from_a_peer(self):
+        c = self.ready()
+        c.entries[1].kill()
+        c.entries[1] = c.start_entry(1, **{"store": "127.0.0.1:1"})
+        c.await_ready()
+        c.publish(queue("rush", "/rush/"), queue("new", "/new/"))
+        time.sleep(CONFIG_APPLY_S)
+        self.assertEqual(c.submit(1, job(), prefix="/new/")[0], 200)
+
+    def test_store_answers_that_are_cut_or_refused_are_retried(self):
+        for mode in ("busy", "cut", "gone"):
+            with self.subTest(mode=mode):
+                c = self.ready(entries=1, agents=1)
+                c.mode(c.store, mode=mode)
+                time.sleep(1.0)
+                self.assertEqual(c.submit(0, job())[0], 200)
+                c.publish(queue("rush", "/rush/"), queue("new", "/new/"))
+                c.mode(c.store, mode="ok")
+                time.sleep(CONFIG_APPLY_S)
+                self.assertEqual(c.submit(0, job(), prefix="/new/")[0], 200)
+
+    def test_settings_are_read_again_and_bad_ones_kept_out(self):
+        c = self.ready(entries=1)
+        path = c.entries[0].argv[1]
+        with open(path) as f:
+            good = f.read()
+        for text in ("{", good.replace('"domain"', '"other"')):
+            with open(path, "w") as f:
+                f.write(text)
+            c.entries[0].send(1)
+            time.sleep(0.3)
+            self.assertEqual(c.submit(0, job())[0], 200)
+        self.assertIn("outcome=kept-old", c.log_of(c.entries[0]))
+        with open(path, "w") as f:
+            f.write(good)
+        self.assertTrue(wait_until(
+            lambda: "outcome=read" in c.log_of(c.entries[0])))
+
+
+class Failures(PlatformTest):
+    def under_load(self, fault, seconds=5, **cluster):
+        """Callers at work while fault() happens; then all is served again."""
+        c = self.ready(**cluster)
+        callers = Callers(c, count=4, run_ms=60)
+        time.sleep(1.0)
+        fault(c)
+        time.sleep(seconds)
+        at = time.monotonic()
+        time.sleep(1.0)
+        callers.stop()
+        self.assertGreater(callers.served_since(at), 5)
+        self.check_rules(c)
+        return c, callers
+
+    def test_entry_killed(self):
+        def fault(c):
+            c.entries[0].kill()
+            c.entries[0].start()
+        self.under_load(fault)
+
+    def test_entry_paused(self):
+        def fault(c):
+            c.entries[0].pause()
+            time.sleep(3)
+            c.entries[0].resume()
+        self.under_load(fault)
+
+    def test_agent_killed(self):
+        def fault(c):
+            c.agents[0].kill()
+            c.agents[0].start()
+        self.under_load(fault)
+
+    def test_agent_gone_for_good(self):
+        self.under_load(lambda c: c.agents[0].kill())
+
+    def test_agent_paused(self):
+        def fault(c):
+            c.agents[0].pause()
+            time.sleep(3)
+            c.agents[0].resume()
+        self.under_load(fault)
+
+    def test_minion_killed(self):
+        self.under_load(lambda c: c.kill_minion(0))
+
+    def test_minion_reborn_at_its_address(self):
+        def fault(c):
+            c.kill_minion(0)
+            c.minions[0].start()
+        self.under_load(fault)
+
+    def test_minion_paused(self):
+        def fault(c):
+            c.minions[0].pause()
+            time.sleep(2)
+            c.minions[0].resume()
+        self.under_load(fault)
+
+    def test_orders_carried_out_without_an_answer(self):
+        self.under_load(lambda c: c.mode(c.minions[0], share=0.2))
+
+    def test_orders_carried_out_late(self):
+        self.under_load(lambda c: c.mode(c.minions[0], share=0.2, late_s=2))
+
+    def test_minion_hangs_what_it_starts(self):
+        self.under_load(lambda c: c.mode(c.minions[0], hang=1))
+
+    def test_minion_refuses_what_it_is_told_to_start(self):
+        self.under_load(lambda c: c.mode(c.minions[0], busy=1))
+
+    def test_minion_leaves(self):
+        c, _ = self.under_load(lambda c: c.mode(c.minions[0],
+                                                state="draining"))
+        self.assertIn("leaving=1", c.log_of(c.agents[0]))
+
+    def test_everything_killed_and_started(self):
+        def fault(c):
+            for p in c.entries + c.agents:
+                p.kill()
+            for p in c.agents + c.entries:
+                p.start()
+        self.under_load(fault)
+
+    def test_store_away(self):
+        self.under_load(lambda c: c.store.kill())
+
+    def test_a_leaving_entry_cuts_nothing(self):
+        c = self.ready()
+        callers = Callers(c, workers=4, count=2, run_ms=100)
+        time.sleep(0.5)
+        c.entries[0].send(15)
+        self.assertTrue(wait_until(lambda: not c.entries[0].ready(), 2))
+        self.assertTrue(wait_until(lambda: not c.entries[0].alive(), 7))
+        self.assertEqual(c.entries[0].popen.returncode, 0)
+        cut = [s for _, s in callers.answers if s not in (0, 200, 503)]
+        callers.stop()
+        self.assertEqual(cut, [])
+        self.check_rules(c)
+
+    def test_a_leaving_agent_lets_its_runs_end(self):
+        c = self.ready(agents=2)
+        callers = Callers(c, workers=4, count=2, run_ms=200)
+        time.sleep(0.5)
+        c.agents[0].send(15)
+        self.assertTrue(wait_until(lambda: not c.agents[0].alive(), 7))
+        callers.stop()
+        stopped = [e for e in c.events()
+                   if e["what"] == "end" and e["how"] != "done"]
+        self.assertEqual(stopped, [])
+        self.check_rules(c)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tools/platform_cluster.py
@@ -0,0 +1,220 @@
+"""Dispatchers, runners and stand-ins of the platform on loopback, and what the
+platform's rules say of their runs, judged from what the minions saw."""
+import json
+import os
+import sys
+import tempfile
+import threading
+import time
+
+from cluster import BUILD, ROOT, Process, free_ports, http, wait_until
+
+SERVICE = "cutting"
+HOST = "jobs.example"
+RESEND_S = 1.3
+
+
+def queue(name, prefix, priority=0, service=SERVICE, attempts=3):
+    return {"name": name, "host": HOST, "path_prefix": prefix,
+            "service": service, "priority": priority, "timeout_ms": 1500,
+            "max_attempts": attempts, "target_latency_ms": 60,
+            "slack_factor": 1.6}
+
+
+def config(version, *queues):
+    return {"version": version, "routes": list(queues),
+            "services": [{"name": SERVICE, "admission_check": False}],
+            "limits": {"max_body_bytes": 262144, "idle_timeout_ms": 15000}}
+
+
+def job(count=1, run_ms=50, mcores=1000, fail=False, **more):
+    spec = json.dumps({"run_ms": run_ms, "mcores": mcores, "fail": fail})
+    return dict({"spec": spec, "best_effort": True,
+                 "steps": [{"count": count, "cpu": mcores, "mem_mb": 64,
+                            "estimate_ms": run_ms}]}, **more)
+
+
+class PlatformCluster:
+    def __init__(self, entries=2, agents=2, mcores=8000, configured=True):
+        self.dir = tempfile.mkdtemp(prefix="lagoonvale-")
+        ports = iter(free_ports(1 + 4 * entries + 3 * agents))
+        self.processes = []
+        self.store = self.standin("store", "platform_store.py", next(ports))
+        self.addresses = [{k: "127.0.0.1:%d" % next(ports)
+                           for k in ("rpc", "jobs", "ready", "metrics")}
+                          for _ in range(entries)]
+        self.seeds = [a["rpc"] for a in self.addresses][:3]
+        self.version = 0
+        if configured:
+            self.publish(queue("rush", "/rush/"))
+        self.minions, self.agents, self.entries = [], [], []
+        for i in range(agents):
+            self.add_agent(i, [next(ports) for _ in range(3)], mcores)
+        for i in range(entries):
+            self.entries.append(self.start_entry(i))
+
+    def add(self, name, argv, address, probe):
+        p = Process(name, argv, os.path.join(self.dir, name + ".log"),
+                    address, probe)
+        self.processes.append(p)
+        return p
+
+    def standin(self, name, script, port, *more):
+        address = "127.0.0.1:%d" % port
+        argv = [sys.executable, os.path.join(ROOT, "standins", script),
+                address] + list(more)
+        p = self.add(name, argv, address, "")
+        assert wait_until(lambda: http("GET", "http://%s/probe" % address,
+                                       timeout=2)[0] == 404)
+        return p
+
+    def settings(self, name, values):
+        path = os.path.join(self.dir, name + ".json")
+        with open(path + ".new", "w") as f:
+            json.dump(dict(values, name=name, seeds=self.seeds), f)
+        os.rename(path + ".new", path)
+        return path
+
+    def start_entry(self, i, **more):
+        name = "entry-%d" % i
+        path = self.settings(name, dict({
+            "domain": "d%d" % i, "store": self.store.address},
+            **self.addresses[i], **more))
+        argv = [os.path.join(BUILD, "lagoonvale-dispatcher"), path]
+        return self.add(name, argv, self.addresses[i]["jobs"],
+                        "http://%s/ready" % self.addresses[i]["ready"])
+
+    def add_agent(self, i, ports, mcores):
+        report, orders, metrics = ["127.0.0.1:%d" % p for p in ports]
+        name = "agent-%d" % i
+        self.minions.append(self.standin(
+            "minion-%d" % i, "platform_minion.py", ports[1], report, SERVICE,
+            str(mcores), os.path.join(self.dir, "minion-%d.runs" % i)))
+        path = self.settings(name, {
+            "domain": "d%d" % i, "service": SERVICE, "reports": report,
+            "minion": orders, "metrics": metrics, "lease_max_ms": 1000})
+        argv = [os.path.join(BUILD, "lagoonvale-runner"), path]
+        self.agents.append(self.add(name, argv, report,
+                                    "http://%s/metrics" % metrics))
+
+    def publish(self, *queues):
+        self.version += 3
+        http("POST", "http://%s/test/put?key=config" % self.store.address,
+             config(self.version, *queues))
+
+    def mode(self, process, **values):
+        query = "&".join("%s=%s" % v for v in values.items())
+        status, _ = http("POST", "http://%s/test/mode?%s"
+                         % (process.address, query), {})
+        assert status == 200
+
+    def await_ready(self):
+        assert wait_until(lambda: all(e.ready() for e in self.entries))
+        assert wait_until(lambda: all(
+            self.submit(i, job(run_ms=5))[0] == 200
+            for i in range(len(self.entries))))
+
+    def metric(self, process, name):
+        _, text = http("GET", process.probe if "metrics" in process.probe
+                       else self.metrics_url(process))
+        for line in text.splitlines():
+            if line.startswith(name + " "):
+                return float(line.split()[1])
+        return None
+
+    def metrics_url(self, entry):
+        i = [e.address for e in self.entries].index(entry.address)
+        return "http://%s/metrics" % self.addresses[i]["metrics"]
+
+    def submit(self, entry, body, name=None, prefix="/rush/", wait_ms=3000,
+               timeout=6):
+        name = name or os.urandom(8).hex()
+        return http("POST", "http://%s%s%s" % (
+            self.addresses[entry]["jobs"], prefix, name), body,
+            {"Host": HOST, "X-Deadline-Ms": str(wait_ms)}, timeout)
+
+    def events(self):
+        """Starts and ends that all minions saw, in the order of time."""
+        out = []
+        for i in range(len(self.minions)):
+            path = os.path.join(self.dir, "minion-%d.runs" % i)
+            if not os.path.exists(path):
+                continue
+            with open(path) as f:
+                out += [dict(json.loads(line), minion=i) for line in f]
+        return sorted(out, key=lambda e: e["at"])
+
+    def breaks(self):
+        """What the rules forbid: a task that runs twice at a time, more in use
+        than there is room, a start at a minion after its leaving was acknowledged."""
+        found, running = [], {}
+        for e in self.events():
+            if e["what"] == "end":
+                running.pop((e["task"], e["minion"]), None)
+                continue
+            if e["what"] == "gone":
+                running = {k: v for k, v in running.items()
+                           if k[1] != e["minion"]}
+                continue
+            if any(task == e["task"] for task, _ in running):
+                found.append(("twice", e))
+            running[(e["task"], e["minion"])] = e
+            if e["used"] > e["room"]:
+                found.append(("room", e))
+            if e["acknowledged"]:
+                found.append(("leaving", e))
+        return found
+
+    def kill_minion(self, i):
+        """What ran there has ended with it."""
+        self.minions[i].kill()
+        with open(os.path.join(self.dir, "minion-%d.runs" % i), "a") as f:
+            f.write(json.dumps({"what": "gone", "at": time.monotonic()})
+                    + "\n")
+
+    def log_of(self, process):
+        with open(process.log, errors="replace") as f:
+            return f.read()
+
+    def close(self):
+        for p in reversed(self.processes):
+            if p.alive():
+                p.resume()
+                p.kill()
+
+
+class Callers:
+    """Callers as the platform has them: each sends a job, and the same again
+    RESEND_S after a connection that broke, through the next entry."""
+
+    def __init__(self, cluster, workers=6, **body):
+        self.cluster, self.body = cluster, job(**body)
+        self.stopped = False
+        self.answers = []
+        self.threads = [threading.Thread(target=self.run, args=(i,),
+                                         daemon=True) for i in range(workers)]
+        for t in self.threads:
+            t.start()
+
+    def run(self, entry):
+        count = len(self.cluster.addresses)
+        while not self.stopped:
+            name, status = os.urandom(8).hex(), 0
+            for _ in range(4):
+                status, _ = self.cluster.submit(entry % count, self.body, name)
+                if status not in (0, 502, 504):
+                    break
+                entry += 1
+                time.sleep(RESEND_S)
+            self.answers.append((time.monotonic(), status))
+            if status != 200:
+                time.sleep(0.05)
+
+    def stop(self):
+        self.stopped = True
+        for t in self.threads:
+            t.join(15)
+        return self.answers
+
+    def served_since(self, at):
+        return sum(1 for t, status in self.answers if t > at and status == 200)
