A line for each decision, bounded, to standard output; early requests wait

Now: control characters are replaced; lines that load brings about are capped at 100 a second and event, with a count of what was left out; jobs that were late, failed or refused always have their line; the writer never waits for the reader.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -20,6 +20,9 @@
 /* Time after the start for which callers are let in although no agent has
    joined yet: agents are there sooner than the next health check.  */
 #define START_NS (1500 * CLK_MS)
+/* Time after the start for which requests wait for a configuration, ns: less
+   than callers take to send one again.  */
+#define CONFIG_WAIT_NS (600 * CLK_MS)
 /* What a caller is told to wait when nothing better is known, ms.  */
 #define RETRY_MS 1000
 
@@ -101,6 +104,46 @@
   ctr_add (&d->counters, ids[answer->outcome], 1);
 }
 
+/* Where a task that has not ended was ordered last, for the log.  */
+static const char *
+stuck_at (const struct brd_job *job)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->count; i++)
+    if (job->tasks[i].state == BRD_PLACED
+        || job->tasks[i].state == BRD_DOUBTFUL)
+      return agent_of (&job->tasks[i])->name;
+  return "-";
+}
+
+/* Lines of jobs that were not complete in time are never left out.  */
+static void
+log_end (const struct brd_job *job, const char *queue,
+         enum dsp_outcome outcome, const char *why, uint64_t now_ns)
+{
+  static const char *const names[] = { [DSP_COMPLETE] = "complete",
+                                       [DSP_FAILED] = "failed",
+                                       [DSP_REFUSED] = "refused",
+                                       [DSP_GAVE_UP] = "gave-up" };
+  unsigned long long age_ms = clk_since (now_ns, job->arrived_ns) / CLK_MS;
+  unsigned long long target_ms
+      = clk_since (job->target_ns, job->arrived_ns) / CLK_MS;
+
+  if (outcome == DSP_COMPLETE && age_ms <= target_ms)
+    log_often (LOGL_INFO, "job-end",
+               "job=%s queue=%s outcome=complete age_ms=%llu target_ms=%llu "
+               "tasks=%u orders=%u",
+               job->id, queue, age_ms, target_ms, job->count, job->orders);
+  else
+    log_line (LOGL_INFO, "job-end",
+              "job=%s queue=%s outcome=%s why=%s age_ms=%llu target_ms=%llu "
+              "tasks=%u open=%u waiting=%u orders=%u stuck_at=%s",
+              job->id, queue, names[outcome], why, age_ms, target_ms,
+              job->count, job->open, job->waiting, job->orders,
+              stuck_at (job));
+}
+
 static void
 answer_job (struct dsp_dispatch *d, struct brd_job *job,
             enum dsp_outcome outcome, const char *why)
@@ -111,12 +154,7 @@
 
   if (outcome == DSP_REFUSED)
     answer.retry_ms = RETRY_MS;
-  log_line (outcome == DSP_COMPLETE ? LOGL_DEBUG : LOGL_INFO, "job-end",
-            "job=%s queue=%s outcome=%d why=%s age_ms=%llu tasks=%u open=%u "
-            "orders=%u late=%d",
-            job->id, caller.queue, outcome, why,
-            (unsigned long long)(clk_since (now, job->arrived_ns) / CLK_MS),
-            job->count, job->open, job->orders, now > job->target_ns);
+  log_end (job, caller.queue, outcome, why, now);
   count_answer (d, &answer);
   caller.answer (&answer, caller.priv);
   remove_job (d, job);
@@ -146,6 +184,20 @@
          || how == LVP_HOW_STALLED;
 }
 
+static const char *
+how_name (lvp_how how)
+{
+  static const char *const names[] = {
+    [LVP_HOW_DONE] = "done",       [LVP_HOW_FAILED] = "failed",
+    [LVP_HOW_STOPPED] = "stopped", [LVP_HOW_LAPSED] = "lapsed",
+    [LVP_HOW_NO_ROOM] = "no-room", [LVP_HOW_REFUSED] = "refused",
+    [LVP_HOW_OLD] = "old",         [LVP_HOW_LEAVING] = "leaving",
+    [LVP_HOW_STALE] = "stale",     [LVP_HOW_STALLED] = "stalled",
+  };
+
+  return (unsigned)how < sizeof names / sizeof names[0] ? names[how] : "?";
+}
+
 static void
 end_run (struct dsp_dispatch *d, struct flt_agent *a, const lvp_end *end)
 {
@@ -168,9 +220,10 @@
     }
   ctr_add (&d->counters,
            end->how == LVP_HOW_NO_ROOM ? DSP_NO_ROOM : DSP_TASKS_AGAIN, 1);
-  log_line (end->how == LVP_HOW_NO_ROOM ? LOGL_DEBUG : LOGL_INFO, "task-again",
-            "job=%s task=%u attempt=%u agent=%s how=%d ran_ms=%u", job->id,
-            task->index, task->attempt, a->name, end->how, end->ran_ms);
+  log_often (LOGL_INFO, "task-again",
+             "job=%s task=%u attempt=%u agent=%s how=%s ran_ms=%u", job->id,
+             task->index, task->attempt, a->name, how_name (end->how),
+             end->ran_ms);
   if (never_started (end->how))
     job->orders--;
   verdict (d, job, brd_again (&d->board, task, end->how == LVP_HOW_FAILED));
@@ -579,6 +632,61 @@
   }
 }
 
+/** struct dsp_waiter - a request that came before any configuration */
+struct dsp_waiter
+{
+  void (*ready) (void *priv);
+  void *priv;
+  struct dsp_waiter *prev;
+  struct dsp_waiter *next;
+};
+
+/* Whether requests wait until a configuration is known.  */
+static bool
+awaits_config (const struct dsp_dispatch *d)
+{
+  return d->config == NULL
+         && clk_since (clk_boot (), d->started_ns) < CONFIG_WAIT_NS;
+}
+
+static void
+call_waiters (struct dsp_dispatch *d)
+{
+  struct dsp_waiter *w;
+
+  while (!awaits_config (d) && (w = d->waiters) != NULL)
+    {
+      DL_DELETE (d->waiters, w);
+      w->ready (w->priv);
+      talloc_free (w);
+    }
+}
+
+struct dsp_waiter *
+dsp_when_configured (struct dsp_dispatch *d, void (*ready) (void *priv),
+                     void *priv)
+{
+  struct dsp_waiter *w;
+
+  if (!awaits_config (d))
+    {
+      ready (priv);
+      return NULL;
+    }
+  w = talloc_zero (d->mem_ctx, struct dsp_waiter);
+  w->ready = ready;
+  w->priv = priv;
+  DL_APPEND (d->waiters, w);
+  return w;
+}
+
+void
+dsp_forget_waiter (struct dsp_dispatch *d, struct dsp_waiter *w)
+{
+  DL_DELETE (d->waiters, w);
+  talloc_free (w);
+}
+
 static void
 drop_silent (struct dsp_dispatch *d, uint64_t now_ns)
 {
@@ -628,6 +736,7 @@
   uint64_t now = clk_boot ();
 
   drop_silent (d, now);
+  call_waiters (d);
   per_tick (&d->peers, now);
   give_up_late (d, clk_now ());
   brd_tick (&d->board, now);
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -88,6 +88,8 @@
   DSP_COUNTERS
 };
 
+struct dsp_waiter;
+
 /** struct dsp_dispatch - caller-owned */
 struct dsp_dispatch
 {
@@ -100,6 +102,7 @@
   struct flt_fleet fleet;
   struct per_peers peers;
   struct cat_config *config;
+  struct dsp_waiter *waiters;
   struct tevent_immediate *pump;
   bool pump_set;
   struct spt_host *hosts;
@@ -130,6 +133,21 @@
 /** dsp_ready() - whether work is taken. */
 bool dsp_ready (const struct dsp_dispatch *d);
 
+/**
+ * dsp_when_configured() - call @ready once a configuration is in force
+ *
+ * Called at once if there is one, or if the entry has been looking for one for
+ * too long; shortly after the start it is called later.
+ *
+ * Return: a handle for dsp_forget_waiter() while the call is still to come.
+ */
+struct dsp_waiter *dsp_when_configured (struct dsp_dispatch *d,
+                                        void (*ready) (void *priv),
+                                        void *priv);
+
+/** dsp_forget_waiter() - the call is not wanted any more. */
+void dsp_forget_waiter (struct dsp_dispatch *d, struct dsp_waiter *waiter);
+
 /** dsp_submit() - take a job; it may be answered before this returns. */
 void dsp_submit (struct dsp_dispatch *d, const struct dsp_job *job);
 
--- a/src/logline.c
+++ b/src/logline.c
@@ -1,15 +1,23 @@
 #include "logline.h"
 
 #include <errno.h>
+#include <limits.h>
 #include <log4c.h>
+#include <poll.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
 #include <time.h>
+#include <unistd.h>
+
+#include "clock.h"
 
 #define LINE_MAX_BYTES 768
 #define BUFFER_BYTES (1 << 16)
+/* Events that are counted apart; further ones share the last place.  */
+#define OFTEN_EVENTS 16
 
 static const int priorities[] = { LOG4C_PRIORITY_ERROR, LOG4C_PRIORITY_WARN,
                                   LOG4C_PRIORITY_INFO, LOG4C_PRIORITY_DEBUG };
@@ -18,6 +26,9 @@
 static log4c_category_t *category;
 static char identity[128];
 static char buffer[BUFFER_BYTES];
+static size_t buffered;
+static unsigned lost; /* lines that found no room */
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
 static const char *
 format_line (const log4c_layout_t *layout, const log4c_logging_event_t *event)
@@ -41,8 +52,19 @@
 static int
 append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
+  size_t len = strlen (event->evt_rendered_msg);
+
   (void)appender;
-  return fputs (event->evt_rendered_msg, stderr);
+  pthread_mutex_lock (&lock);
+  if (buffered + len > sizeof buffer)
+    lost++;
+  else
+    {
+      memcpy (buffer + buffered, event->evt_rendered_msg, len);
+      buffered += len;
+    }
+  pthread_mutex_unlock (&lock);
+  return 0;
 }
 
 static const log4c_appender_type_t appender_type
@@ -60,7 +82,6 @@
   if (l > LOGL_DEBUG)
     return -EINVAL;
   snprintf (identity, sizeof identity, "role=%s name=%s", role, name);
-  setvbuf (stderr, buffer, _IOFBF, sizeof buffer);
   log4c_init ();
   log4c_layout_type_set (&layout_type);
   layout = log4c_layout_get ("lagoonvale");
@@ -83,24 +104,125 @@
          && log4c_category_is_priority_enabled (category, priorities[level]);
 }
 
+static void
+replace_controls (char *text)
+{
+  for (; *text != '\0'; text++)
+    if ((unsigned char)*text < ' ' || *text == '\x7f')
+      *text = '?';
+}
+
+static void
+write_event (enum log_level level, const char *event, const char *format,
+             va_list args)
+{
+  char text[LINE_MAX_BYTES];
+
+  vsnprintf (text, sizeof text, format, args);
+  replace_controls (text);
+  log4c_category_log (category, priorities[level], "event=%s %s", event, text);
+  if (level <= LOGL_WARN)
+    log_flush ();
+}
+
 void
 log_line (enum log_level level, const char *event, const char *format, ...)
 {
-  char text[LINE_MAX_BYTES];
   va_list args;
 
   if (!log_enabled (level))
     return;
   va_start (args, format);
-  vsnprintf (text, sizeof text, format, args);
+  write_event (level, event, format, args);
   va_end (args);
-  log4c_category_log (category, priorities[level], "event=%s %s", event, text);
-  if (level <= LOGL_WARN)
-    log_flush ();
+}
+
+/* How often one event was logged in one second.  Events are told apart by the
+   address of their name.  */
+struct often
+{
+  const char *event;
+  uint64_t second;
+  unsigned count;
+};
+
+static struct often *
+often_of (const char *event)
+{
+  static _Thread_local struct often table[OFTEN_EVENTS];
+  unsigned i;
+
+  for (i = 0; i < OFTEN_EVENTS - 1; i++)
+    if (table[i].event == event || table[i].event == NULL)
+      break;
+  table[i].event = event;
+  return &table[i];
+}
+
+/* Whether one more line of EVENT may be written now.  */
+static bool
+within_limit (const char *event)
+{
+  struct often *o = often_of (event);
+  uint64_t second = clk_now () / CLK_S;
+
+  if (o->second != second)
+    {
+      if (o->count > LOG_OFTEN_MAX)
+        log_line (LOGL_INFO, "log-left-out", "of=%s lines=%u", event,
+                  o->count - LOG_OFTEN_MAX);
+      o->second = second;
+      o->count = 0;
+    }
+  return ++o->count <= LOG_OFTEN_MAX;
+}
+
+void
+log_often (enum log_level level, const char *event, const char *format, ...)
+{
+  va_list args;
+
+  if (!log_enabled (level) || !within_limit (event))
+    return;
+  va_start (args, format);
+  write_event (level, event, format, args);
+  va_end (args);
+}
+
+/* Write what the reader takes now.  Return: bytes written.  */
+static size_t
+write_some (void)
+{
+  struct pollfd p = { STDOUT_FILENO, POLLOUT, 0 };
+  size_t done = 0;
+
+  /* A pipe that is ready takes PIPE_BUF bytes without blocking.  */
+  while (done < buffered && poll (&p, 1, 0) == 1 && (p.revents & POLLOUT) != 0)
+    {
+      size_t len = buffered - done;
+      ssize_t n = write (STDOUT_FILENO, buffer + done,
+                         len < PIPE_BUF ? len : PIPE_BUF);
+
+      if (n <= 0)
+        break;
+      done += (size_t)n;
+    }
+  return done;
 }
 
 void
 log_flush (void)
 {
-  fflush (stderr);
+  unsigned missed;
+  size_t done;
+
+  pthread_mutex_lock (&lock);
+  done = write_some ();
+  memmove (buffer, buffer + done, buffered - done);
+  buffered -= done;
+  missed = buffered < sizeof buffer / 2 ? lost : 0;
+  lost -= missed;
+  pthread_mutex_unlock (&lock);
+  if (missed > 0)
+    log_line (LOGL_INFO, "log-lost", "why=reader-too-slow lines=%u", missed);
 }
--- a/src/logline.h
+++ b/src/logline.h
@@ -1,7 +1,10 @@
 /**
  * DOC: logline
  *
- * One structured line (key=value) per event, through log4c.
+ * One structured line (key=value) per event, through log4c, to standard
+ * output.  Nobody waits for the reader of the log: what does not fit into the
+ * buffer is counted and reported in a line of its own.  Control characters in
+ * values are replaced, so that no value can look like a line.
  */
 #ifndef LV_LOGLINE_H
 #define LV_LOGLINE_H
@@ -18,7 +21,7 @@
 };
 
 /**
- * log_init() - open the log of this process on standard error
+ * log_init() - open the log of this process on standard output
  * @role: "entry", "agent", ...
  * @name: name of the instance
  * @level: "error", "warn", "info" or "debug"
@@ -39,6 +42,18 @@
 void log_line (enum log_level level, const char *event, const char *format,
                ...) __attribute__ ((format (printf, 3, 4)));
 
+/**
+ * log_often() - like log_line(), for events that load brings about
+ *
+ * At most LOG_OFTEN_MAX lines of one event are written in a second; a line
+ * "log-left-out" tells how many were not.
+ */
+void log_often (enum log_level level, const char *event, const char *format,
+                ...) __attribute__ ((format (printf, 3, 4)));
+
+/** Lines of one event a second that log_often() writes. */
+#define LOG_OFTEN_MAX 100U
+
 /** log_flush() - write out what is buffered; called once per loop tick. */
 void log_flush (void);
 
--- a/src/runner.c
+++ b/src/runner.c
@@ -284,14 +284,20 @@
     [RNB_REFUSED] = LVP_HOW_REFUSED, [RNB_OLD] = LVP_HOW_OLD,
     [RNB_STALLED] = LVP_HOW_STALLED,
   };
+  static const char *const names[] = {
+    [RNB_DONE] = "done",       [RNB_FAILED] = "failed",
+    [RNB_STOPPED] = "stopped", [RNB_LAPSED] = "lapsed",
+    [RNB_REFUSED] = "refused", [RNB_OLD] = "old",
+    [RNB_STALLED] = "stalled",
+  };
   struct rnr_runner *r = priv;
   uint64_t ran_ns = clk_since (clk_boot (), run->ordered_ns);
 
   count_end (r, how);
-  log_line (how == RNB_DONE ? LOGL_DEBUG : LOGL_INFO, "run-end",
-            "task=%s attempt=%u how=%d ran_ms=%llu percent=%u", run->name,
-            run->attempt, how, (unsigned long long)(ran_ns / CLK_MS),
-            run->percent);
+  log_often (LOGL_INFO, "run-end",
+             "task=%s attempt=%u how=%s ran_ms=%llu percent=%u", run->name,
+             run->attempt, names[how], (unsigned long long)(ran_ns / CLK_MS),
+             run->percent);
   if (run->owner != 0)
     keep_end (r, run->owner, run->number, hows[how],
               (uint32_t)(ran_ns / CLK_MS));
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -146,6 +146,18 @@
         c = self.cluster(entries=1, configured=False)
         self.assertTrue(wait_until(lambda: c.submit(0, job())[0] == 503))
 
+    def test_requests_wait_a_moment_for_the_first_configuration(self):
+        c = self.ready(entries=1, agents=1)
+        c.mode(c.store, mode="busy")
+        c.entries[0].kill()
+        c.entries[0].start()
+        callers = Callers(c, workers=2, run_ms=10)
+        time.sleep(0.3)
+        c.mode(c.store, mode="ok")
+        time.sleep(0.5)
+        refused = [s for _, s in callers.stop() if s == 503]
+        self.assertEqual(refused, [])
+
     def test_what_the_store_refuses_comes_from_a_peer(self):
         c = self.ready()
         c.entries[1].kill()
