--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -929,13 +929,13 @@
   caller->priv = job->priv;
   caller->queue = talloc_strdup (caller, job->queue->name);
   taken->priv = caller;
-  log_line (LOGL_DEBUG, "job",
-            "job=%s queue=%s tasks=%u mcores=%u "
-            "estimate_ms=%u target_ms=%llu patience_ms=%u config=%llu",
-            taken->id, caller->queue, taken->count, taken->need.mcores,
-            taken->estimate_ms,
-            (unsigned long long)(demand.target_ns / CLK_MS), job->patience_ms,
-            (unsigned long long)config_version (d));
+  log_often (LOGL_INFO, "job",
+             "job=%s queue=%s tasks=%u mcores=%u "
+             "estimate_ms=%u target_ms=%llu patience_ms=%u config=%llu",
+             taken->id, caller->queue, taken->count, taken->need.mcores,
+             taken->estimate_ms,
+             (unsigned long long)(demand.target_ns / CLK_MS), job->patience_ms,
+             (unsigned long long)config_version (d));
   pump_soon (d);
 }
 
