--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -23,6 +23,8 @@
 /* Time after the start for which requests wait for a configuration, ns: less
    than callers take to send one again.  */
 #define CONFIG_WAIT_NS (600 * CLK_MS)
+/* A task may take so many times what it declares, its wait included.  */
+#define LEAVE_FACTOR 3
 /* What a caller is told to wait when nothing better is known, ms.  */
 #define RETRY_MS 1000
 
@@ -884,6 +886,16 @@
          || spt_possible (d->hosts, n, &job->need);
 }
 
+/* Whether JOB surely ends while this entry is still there.  */
+static bool
+ends_in_time (const struct dsp_dispatch *d, const struct dsp_job *job)
+{
+  uint64_t run_ns = job->estimate_ms * LEAVE_FACTOR * CLK_MS;
+  uint64_t target_ns = job->queue->target_ms * CLK_MS;
+
+  return !d->leaving || clk_boot () + run_ns + target_ns < d->until_ns;
+}
+
 /* The same job is sent again while it runs: the newer caller gets its end.  */
 static void
 take_over (struct dsp_dispatch *d, struct brd_job *taken,
@@ -913,6 +925,11 @@
       take_over (d, taken, job, demand.patience_ns);
       return;
     }
+  if (!ends_in_time (d, job))
+    {
+      refuse (d, job, "leaving");
+      return;
+    }
   if (!can_hold (d, job))
     {
       refuse (d, job, "no-agent-fits");
@@ -968,13 +985,8 @@
 }
 
 void
-dsp_leave (struct dsp_dispatch *d)
+dsp_leave (struct dsp_dispatch *d, uint64_t until_ns)
 {
   d->leaving = true;
-}
-
-void
-dsp_close (struct dsp_dispatch *d)
-{
-  d->closed = true;
+  d->until_ns = until_ns;
 }
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -111,7 +111,7 @@
   uint64_t hungry_ns;
   uint64_t started_ns;
   uint64_t logged_ns;
-  bool closed;
+  uint64_t until_ns;
   bool leaving;
   struct ctr_set counters;
 };
@@ -159,10 +159,11 @@
 unsigned dsp_pending (const struct dsp_dispatch *d,
                       const struct cat_queue *queue);
 
-/** dsp_leave() - tell health checks that this entry leaves. */
-void dsp_leave (struct dsp_dispatch *d);
-
-/** dsp_close() - take no further jobs. */
-void dsp_close (struct dsp_dispatch *d);
+/**
+ * dsp_leave() - this entry ends at @until_ns, by clk_boot()
+ *
+ * Health checks are told; jobs are taken as long as they end before that.
+ */
+void dsp_leave (struct dsp_dispatch *d, uint64_t until_ns);
 
 #endif
