A fault soak: dispatcher, runner and stand-ins behind the fault proxy

Schedules by seed: kills, pauses, SIGTERM, SIGHUP, minions that die, hang, refuse or answer nothing (orders carried out late too), links delayed, reset, frozen, cut or dropped one way, the store away, configurations in between; overlapping. It checks tasks at once, room, starts after an acknowledged leaving, true refusals, versions and recovery. The dispatcher gets the setting advertise, for a proxy before its RPC address.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -794,7 +794,7 @@
   brd_init (&d->board, mem_ctx);
   flt_init (&d->fleet, mem_ctx);
   ctr_init (&d->counters, descs, DSP_COUNTERS);
-  rc = per_init (&d->peers, mem_ctx, ev, settings->rpc, d->incarnation,
+  rc = per_init (&d->peers, mem_ctx, ev, settings->advertise, d->incarnation,
                  &events);
   if (rc == 0)
     rc = net_serve (mem_ctx, ev, settings->rpc, accepted, d);
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -19,12 +19,17 @@
 #include "peers.h"
 #include "settings.h"
 
-/** struct dsp_settings - what the dispatcher needs of the settings file */
+/**
+ * struct dsp_settings - what the dispatcher needs of the settings file
+ * @rpc: where it listens for agents and other entries
+ * @advertise: where they dial it
+ */
 struct dsp_settings
 {
   const char *name;
   const char *domain;
   const char *rpc;
+  const char *advertise;
   struct set_strings seeds;
 };
 
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -251,11 +251,7 @@
         self.under_load(fault)
 
     def test_minion_paused(self):
-        def fault(c):
-            c.minions[0].pause()
-            time.sleep(2)
-            c.minions[0].resume()
-        self.under_load(fault)
+        self.under_load(lambda c: c.pause_minion(0, 2))
 
     def test_orders_carried_out_without_an_answer(self):
         self.under_load(lambda c: c.mode(c.minions[0], share=0.2))
--- a/tools/platform_cluster.py
+++ b/tools/platform_cluster.py
@@ -12,6 +12,7 @@
 SERVICE = "cutting"
 HOST = "jobs.example"
 RESEND_S = 1.3
+LEASE_MAX_S = 1.0
 
 
 def queue(name, prefix, priority=0, service=SERVICE, attempts=3):
@@ -35,23 +36,31 @@
 
 
 class PlatformCluster:
-    def __init__(self, entries=2, agents=2, mcores=8000, configured=True):
+    def __init__(self, entries=2, agents=2, mcores=8000, configured=True,
+                 proxy=False):
         self.dir = tempfile.mkdtemp(prefix="lagoonvale-")
-        ports = iter(free_ports(1 + 4 * entries + 3 * agents))
+        ports = iter(free_ports(2 + 5 * entries + 4 * agents))
+        self.proxy, self.routes = None, {}
+        if proxy:
+            self.plan_proxy(entries, agents, ports)
         self.processes = []
         self.store = self.standin("store", "platform_store.py", next(ports))
         self.addresses = [{k: "127.0.0.1:%d" % next(ports)
                            for k in ("rpc", "jobs", "ready", "metrics")}
                           for _ in range(entries)]
-        self.seeds = [a["rpc"] for a in self.addresses][:3]
+        self.seeds = [self.routes.get("entry-%d" % i, a["rpc"])
+                      for i, a in enumerate(self.addresses)][:3]
         self.version = 0
         if configured:
             self.publish(queue("rush", "/rush/"))
         self.minions, self.agents, self.entries = [], [], []
+        self.agent_ports = []
         for i in range(agents):
             self.add_agent(i, [next(ports) for _ in range(3)], mcores)
         for i in range(entries):
             self.entries.append(self.start_entry(i))
+        if proxy:
+            self.start_proxy()
 
     def add(self, name, argv, address, probe):
         p = Process(name, argv, os.path.join(self.dir, name + ".log"),
@@ -68,6 +77,31 @@
                                        timeout=2)[0] == 404)
         return p
 
+    def plan_proxy(self, entries, agents, ports):
+        """A route before each entry's RPC address and each minion."""
+        for name in (["entry-%d" % i for i in range(entries)]
+                     + ["minion-%d" % i for i in range(agents)]):
+            self.routes[name] = "127.0.0.1:%d" % next(ports)
+        self.control = "127.0.0.1:%d" % next(ports)
+
+    def start_proxy(self):
+        targets = dict([("entry-%d" % i, a["rpc"])
+                        for i, a in enumerate(self.addresses)]
+                       + [(m.name, m.address) for m in self.minions])
+        argv = [sys.executable,
+                os.path.join(ROOT, "standins", "fault_proxy.py"),
+                "--control", self.control]
+        for name, listen in self.routes.items():
+            argv += ["--route", "%s=%s>%s" % (name, listen, targets[name])]
+        self.proxy = self.add("proxy", argv, self.control,
+                              "http://%s/stats" % self.control)
+        assert wait_until(self.proxy.ready)
+
+    def disturb(self, route, **what):
+        status, _ = http("POST", "http://%s/control" % self.control,
+                         dict(what, route=route))
+        assert status == 200
+
     def settings(self, name, values):
         path = os.path.join(self.dir, name + ".json")
         with open(path + ".new", "w") as f:
@@ -78,7 +112,8 @@
     def start_entry(self, i, **more):
         name = "entry-%d" % i
         path = self.settings(name, dict({
-            "domain": "d%d" % i, "store": self.store.address},
+            "domain": "d%d" % i, "store": self.store.address,
+            "advertise": self.routes.get(name, self.addresses[i]["rpc"])},
             **self.addresses[i], **more))
         argv = [os.path.join(BUILD, "lagoonvale-dispatcher"), path]
         return self.add(name, argv, self.addresses[i]["jobs"],
@@ -92,7 +127,7 @@
             str(mcores), os.path.join(self.dir, "minion-%d.runs" % i)))
         path = self.settings(name, {
             "domain": "d%d" % i, "service": SERVICE, "reports": report,
-            "minion": orders, "metrics": metrics, "lease_max_ms": 1000})
+            "minion": self.routes.get("minion-%d" % i, orders), "metrics": metrics, "lease_max_ms": 1000})
         argv = [os.path.join(BUILD, "lagoonvale-runner"), path]
         self.agents.append(self.add(name, argv, report,
                                     "http://%s/metrics" % metrics))
@@ -168,6 +203,17 @@
     def kill_minion(self, i):
         """What ran there has ended with it."""
         self.minions[i].kill()
+        self.note_gone(i)
+
+    def pause_minion(self, i, seconds):
+        """For longer than a lease: what ran there does not go on."""
+        assert seconds > LEASE_MAX_S
+        self.minions[i].pause()
+        self.note_gone(i)
+        time.sleep(seconds)
+        self.minions[i].resume()
+
+    def note_gone(self, i):
         with open(os.path.join(self.dir, "minion-%d.runs" % i), "a") as f:
             f.write(json.dumps({"what": "gone", "at": time.monotonic()})
                     + "\n")
@@ -190,7 +236,7 @@
     def __init__(self, cluster, workers=6, **body):
         self.cluster, self.body = cluster, job(**body)
         self.stopped = False
-        self.answers = []
+        self.answers, self.attempts = [], {}
         self.threads = [threading.Thread(target=self.run, args=(i,),
                                          daemon=True) for i in range(workers)]
         for t in self.threads:
@@ -202,6 +248,7 @@
             name, status = os.urandom(8).hex(), 0
             for _ in range(4):
                 status, _ = self.cluster.submit(entry % count, self.body, name)
+                self.attempts.setdefault(name, []).append(status)
                 if status not in (0, 502, 504):
                     break
                 entry += 1
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,247 @@
+#!/usr/bin/env python3
+"""Randomized fault soak of the dispatcher and runner on loopback.
+
+soak.py SEED [--seconds N] [--entries N] [--agents N]   one run
+soak.py --from A --to B [--jobs N]                      seeds A to B
+
+A seed fixes the schedule of faults: what, where, when, how long; several at a
+time, in series and overlapping.  While it runs, callers send jobs, and it is
+checked from what callers and minions see that no task runs twice at a time, no
+minion is overfilled, a refusal is true, configurations never go back, and that
+service returns within the platform's bound.  A failing run keeps its logs and
+prints where.  tests/soak-seeds.txt lists seeds that have failed once.
+"""
+import argparse
+import random
+import subprocess
+import sys
+import threading
+import time
+
+import os
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from cluster import wait_until  # noqa: E402
+from platform_cluster import Callers, PlatformCluster, queue  # noqa: E402
+
+RECOVERY_S = 12.0
+# Share of the rate before the faults that has to be back by then.
+SERVED_SHARE = 0.25
+SETTLE_S = 1.5
+
+
+class Soak:
+    def __init__(self, seed, seconds, entries, agents):
+        self.rng = random.Random(seed)
+        self.seconds = seconds
+        self.c = PlatformCluster(entries=entries, agents=agents, proxy=True)
+        self.versions, self.found, self.schedule = {}, [], []
+        self.done = False
+        self.lock = threading.Lock()
+
+    def process(self):
+        """An entry or an agent, and a lock so that its faults don't mix."""
+        return self.rng.choice(self.c.entries + self.c.agents)
+
+    def plan(self):
+        kinds = [self.kill, self.pause, self.stop, self.hup, self.minion_dies,
+                 self.minion_mode, self.link, self.store, self.publish]
+        at = 0.0
+        while at < self.seconds:
+            kind = self.rng.choice(kinds)
+            self.schedule.append((at, kind.__name__, kind(), self.rng.uniform(
+                0.3, 3.0)))
+            at += self.rng.uniform(0.2, 2.0)
+
+    # Each returns what to do first and what to do when its time is over.
+    def kill(self):
+        p = self.process()
+        return p.kill, lambda: p.alive() or p.start()
+
+    def pause(self):
+        p = self.process()
+        return p.pause, p.resume
+
+    def stop(self):
+        p = self.process()
+
+        def again():
+            wait_until(lambda: not p.alive(), 8)
+            p.kill() if p.alive() else None
+            p.start()
+        return lambda: p.send(15), again
+
+    def hup(self):
+        p = self.process()
+        return lambda: p.send(1), lambda: None
+
+    def minion_dies(self):
+        i = self.rng.randrange(len(self.c.minions))
+        m = self.c.minions[i]
+        return (lambda: self.c.kill_minion(i),
+                lambda: m.alive() or m.start())
+
+    def minion_mode(self):
+        m = self.rng.choice(self.c.minions)
+        mode = self.rng.choice([
+            {"share": 0.1}, {"share": 0.3, "late_s": 2.0}, {"hang": 1},
+            {"busy": 1}])
+        calm = {"share": 0, "late_s": 0, "hang": 0, "busy": 0}
+        return (lambda: m.alive() and self.c.mode(m, **mode),
+                lambda: m.alive() and self.c.mode(m, **calm))
+
+    def link(self):
+        route = self.rng.choice(sorted(self.c.routes) + ["*"])
+        what, calm = self.rng.choice([
+            ({"delay_ms": self.rng.randrange(1, 60)}, {"delay_ms": 0}),
+            ({"reset": True}, {}), ({"freeze": "all"}, {}),
+            ({"drop": "in"}, {"drop": ""}), ({"drop": "out"}, {"drop": ""}),
+            ({"cut": True, "from": ""}, {"cut": False})])
+        return (lambda: self.c.disturb(route, **what),
+                lambda: self.c.disturb(route, **calm))
+
+    def store(self):
+        mode = self.rng.choice(["busy", "silent", "cut", "gone"])
+        return (lambda: self.c.mode(self.c.store, mode=mode),
+                lambda: self.c.mode(self.c.store, mode="ok"))
+
+    def publish(self):
+        def change():
+            with self.lock:
+                self.c.publish(queue("rush", "/rush/"),
+                               queue("q%d" % self.c.version, "/q/"))
+        return change, change
+
+    def run_fault(self, kind, actions, seconds):
+        print("%6.2f %s for %.2f s" % (time.monotonic() - self.began, kind,
+                                       seconds), flush=True)
+        actions[0]()
+        time.sleep(seconds)
+        actions[1]()
+
+    def watch_versions(self):
+        """The configuration of one life of an entry only gets newer."""
+        while not self.done:
+            for e in self.c.entries:
+                life = (e.name, e.popen.pid)
+                version = self.read_version(e)
+                if version is None:
+                    continue
+                if version < self.versions.get(life, 0):
+                    self.found.append(("version", life, version))
+                self.versions[life] = version
+            time.sleep(0.2)
+
+    def read_version(self, entry):
+        try:
+            return self.c.metric(entry, "lagoonvale_config_version")
+        except AttributeError:
+            return None  # no answer
+
+    def calm(self):
+        """Undo what is left, so that recovery can be judged."""
+        self.c.disturb("*", delay_ms=0)
+        self.c.disturb("*", drop="")
+        self.c.disturb("*", cut=False)
+        self.c.mode(self.c.store, mode="ok")
+        for p in self.c.entries + self.c.agents + self.c.minions:
+            if p.alive():
+                p.resume()
+            else:
+                p.start()
+
+    def check(self, callers, before):
+        at = time.monotonic()
+        wait_until(lambda: callers.served_since(time.monotonic() - 2)
+                   >= before * 2 * SERVED_SHARE, RECOVERY_S)
+        rate = callers.served_since(time.monotonic() - 2) / 2
+        print("%6.2f served %.0f a second, %.0f before; back after %.1f s"
+              % (at - self.began, rate, before, time.monotonic() - at))
+        if rate < before * SERVED_SHARE:
+            self.found.append(("recovery", rate, before))
+        self.done = True
+        callers.stop()
+        time.sleep(SETTLE_S)
+        self.found += self.c.breaks()
+        self.check_refusals(callers)
+
+    def check_refusals(self, callers):
+        started = {e["task"].split(".")[0] for e in self.c.events()
+                   if e["what"] == "start"}
+        for name, statuses in callers.attempts.items():
+            if set(statuses) <= {429, 503} and name in started:
+                self.found.append(("refused and run", name, statuses))
+
+    def run(self):
+        self.c.await_ready()
+        self.plan()
+        callers = Callers(self.c, workers=8, count=4, run_ms=60)
+        time.sleep(2)
+        before = callers.served_since(time.monotonic() - 1.5) / 1.5
+        self.began = time.monotonic()
+        watcher = threading.Thread(target=self.watch_versions, daemon=True)
+        watcher.start()
+        threads = []
+        for at, kind, actions, seconds in self.schedule:
+            time.sleep(max(0, self.began + at - time.monotonic()))
+            t = threading.Thread(target=self.run_fault,
+                                 args=(kind, actions, seconds), daemon=True)
+            t.start()
+            threads.append(t)
+        for t in threads:
+            t.join(15)
+        self.calm()
+        self.check(callers, before)
+        watcher.join(5)
+        return self.found
+
+
+def one(args):
+    soak = Soak(args.seed, args.seconds, args.entries, args.agents)
+    try:
+        found = soak.run()
+    finally:
+        soak.c.close()
+    for f in found[:10]:
+        print("FOUND", f)
+    print("seed %d: %s, logs in %s" % (
+        args.seed, "%d found" % len(found) if found else "ok", soak.c.dir))
+    return 1 if found else 0
+
+
+def many(args):
+    failed, running, seeds = [], [], list(range(args.first, args.last + 1))
+    while seeds or running:
+        while seeds and len(running) < args.jobs:
+            seed = seeds.pop(0)
+            argv = [sys.executable, __file__, str(seed), "--seconds",
+                    str(args.seconds), "--entries", str(args.entries),
+                    "--agents", str(args.agents)]
+            running.append((seed, subprocess.Popen(
+                argv, stdout=subprocess.PIPE, text=True)))
+        seed, p = running.pop(0)
+        text = p.communicate()[0]
+        if p.returncode != 0:
+            failed.append(seed)
+            print(text, flush=True)
+        print("seed %d %s" % (seed, "FAIL" if p.returncode else "ok"),
+              flush=True)
+    print("%d passed, %d failed %s" % (
+        args.last - args.first + 1 - len(failed), len(failed), failed or ""))
+    return 1 if failed else 0
+
+
+def main():
+    p = argparse.ArgumentParser()
+    p.add_argument("seed", nargs="?", type=int)
+    p.add_argument("--from", dest="first", type=int)
+    p.add_argument("--to", dest="last", type=int)
+    p.add_argument("--jobs", type=int, default=2)
+    p.add_argument("--seconds", type=float, default=15)
+    p.add_argument("--entries", type=int, default=3)
+    p.add_argument("--agents", type=int, default=4)
+    args = p.parse_args()
+    return one(args) if args.seed is not None else many(args)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
