dispatch.c and runner.c split by concern; a start without advertise

Cause: two files of 992 and 959 lines held several concerns. Now dispatch.c (life, 274 lines), _agents, _jobs, _place; runner.c (152), _entries, _minion; calls run one way, what the minion's part must report goes up through rnr_runner.looked.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,8 @@
 UNIT_OBJ = $(UNIT_SRC:%.cc=$(B)/%.o)
 
 .PHONY: all deployed deps check-deps demo demo-up demo-down check unit lint \
-  format format-check sanitize sanitize-threads fuzz mutants bench install clean
+  format format-check sanitize sanitize-threads fuzz mutants bench install clean \
+  deploy-check soak
 
 # What deploy/system.toml builds: the programs of the platform, nothing else.
 deployed: $(B)/lagoonvale-dispatcher $(B)/lagoonvale-runner
@@ -142,6 +143,19 @@
 	  python3 tests/run.py sanitized
 	@! cat $(TSAN_LOG)* 2>/dev/null
 
+# What deploy/system.toml says, into a clean folder, and its templates rendered
+# and checked by the programs themselves.
+deploy-check: deps
+	@rm -rf target
+	@$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)
+	@python3 tools/deploy_check.py
+
+# A repeatable schedule of faults; tests/soak-seeds.txt has more seeds.
+SEED ?= 1
+soak: deps
+	@$(MAKE) -s all
+	@python3 tools/soak.py $(SEED)
+
 bench: deps
 	@$(MAKE) -s all
 	@python3 tools/bench.py
--- /dev/null
+++ b/src/dispatch_parts.h
@@ -0,0 +1,73 @@
+/**
+ * DOC: dispatch_parts
+ *
+ * What the parts of the dispatcher call of each other.  Calls run one way:
+ *
+ *   dispatch.c          life of the process, configuration, ticks
+ *   dispatch_agents.c   what agents say: joins, reports, ends
+ *   dispatch_jobs.c     jobs from their arrival to their answer
+ *   dispatch_place.c    where tasks go, and the orders
+ */
+#ifndef LV_DISPATCH_PARTS_H
+#define LV_DISPATCH_PARTS_H
+
+#include "clock.h"
+#include "dispatch.h"
+
+/** Time after the start in which agents may be missing still, ns: they are
+ * there sooner than the balancer's next health check. */
+#define DSP_START_NS (1500 * CLK_MS)
+
+/** struct dsp_caller - what the board keeps for the owner of a job */
+struct dsp_caller
+{
+  void (*answer) (const struct dsp_answer *answer, void *priv);
+  void *priv;
+  char *queue;
+};
+
+/** dsp_agent_of() - agent of the last order for @task, or NULL. */
+static inline struct flt_agent *
+dsp_agent_of (const struct brd_task *task)
+{
+  return task->host;
+}
+
+/** dsp_version() - version of the configuration in force, 0 for none. */
+static inline uint64_t
+dsp_version (const struct dsp_dispatch *d)
+{
+  return d->config != NULL ? d->config->version : 0;
+}
+
+/* dispatch_place.c */
+
+/** dsp_pump_soon() - place what waits in the next turn of the loop. */
+void dsp_pump_soon (struct dsp_dispatch *d);
+/** dsp_list_hosts() - fill d->hosts for @service. Return: their count. */
+unsigned dsp_list_hosts (struct dsp_dispatch *d, struct lv_slice service);
+/** dsp_stop_runs() - stop what still runs of @job. */
+void dsp_stop_runs (struct dsp_dispatch *d, struct brd_job *job);
+
+/* dispatch_jobs.c */
+
+/** dsp_verdict() - answer @job if @v ends it. */
+void dsp_verdict (struct dsp_dispatch *d, struct brd_job *job,
+                  enum brd_verdict v);
+/** dsp_give_up_late() - answer jobs whose callers have stopped waiting. */
+void dsp_give_up_late (struct dsp_dispatch *d, uint64_t now_ns);
+
+/* dispatch_agents.c */
+
+void dsp_on_join (struct dsp_dispatch *d, struct onc_conn *conn, uint32_t xid,
+                  XDR *args);
+void dsp_on_report (struct dsp_dispatch *d, struct onc_conn *conn,
+                    uint32_t xid, XDR *args);
+void dsp_on_ends (struct dsp_dispatch *d, struct onc_conn *conn, uint32_t xid,
+                  XDR *args);
+void dsp_on_closed (struct onc_conn *conn, const struct err_error *err,
+                    void *priv);
+/** dsp_drop_silent() - close connections of agents that went silent. */
+void dsp_drop_silent (struct dsp_dispatch *d, uint64_t now_ns);
+
+#endif
--- /dev/null
+++ b/src/dispatch_place.c
@@ -0,0 +1,216 @@
+#include "dispatch_parts.h"
+
+#include <talloc.h>
+#include <utlist.h>
+
+#include "logline.h"
+#include "wire.h"
+
+/* Least time between two calls that tell agents of waiting work, ns.  */
+#define HUNGRY_GAP_NS (20 * CLK_MS)
+/* Jobs at the head of the queue that are tried when the first does not fit. */
+#define TRY_JOBS 12
+
+/* Stop what still runs of JOB, wherever an agent can be told.  */
+void
+dsp_stop_runs (struct dsp_dispatch *d, struct brd_job *job)
+{
+  struct flt_agent *a;
+  uint32_t i;
+
+  DL_FOREACH (d->fleet.agents, a)
+  {
+    lvp_stop stop = { 0 };
+    u_quad_t *runs;
+
+    if (a->conn == NULL)
+      continue;
+    runs = talloc_array (NULL, u_quad_t, job->count);
+    stop.runs.runs_val = runs;
+    for (i = 0; i < job->count; i++)
+      if (job->tasks[i].state == BRD_PLACED
+          && dsp_agent_of (&job->tasks[i]) == a)
+        runs[stop.runs.runs_len++] = job->tasks[i].run;
+    if (stop.runs.runs_len > 0)
+      onc_call (a->conn, LVP_STOP, (xdrproc_t)xdr_lvp_stop, &stop, NULL, NULL);
+    talloc_free (runs);
+  }
+}
+
+/* Fill the table of places for tasks of SERVICE.  */
+unsigned
+dsp_list_hosts (struct dsp_dispatch *d, struct lv_slice service)
+{
+  struct flt_agent *a;
+  uint64_t now = clk_boot ();
+  unsigned n = 0;
+
+  if (d->fleet.count > d->host_cap)
+    {
+      d->host_cap = d->fleet.count * 2;
+      d->hosts = talloc_realloc (d->mem_ctx, d->hosts, struct spt_host,
+                                 d->host_cap);
+      d->host_agents = talloc_realloc (d->mem_ctx, d->host_agents,
+                                       struct flt_agent *, d->host_cap);
+    }
+  DL_FOREACH (d->fleet.agents, a)
+  {
+    d->host_agents[n] = a;
+    d->hosts[n++] = flt_host (a, service, d->set.domain, now);
+  }
+  return n;
+}
+
+static int
+index_of (const struct dsp_dispatch *d, unsigned n,
+          const struct flt_agent *agent)
+{
+  unsigned i;
+
+  for (i = 0; i < n; i++)
+    if (d->host_agents[i] == agent)
+      return (int)i;
+  return -1;
+}
+
+static void
+send_order (struct dsp_dispatch *d, struct flt_agent *a, struct brd_job *job,
+            lvp_run *runs, unsigned count)
+{
+  struct lv_slice spec = { job->spec, job->spec_len };
+  lvp_order order = { .stamp_ms = a->stamp_ms,
+                      .job = job->id,
+                      .spec = wir_bytes (spec),
+                      .need = wir_amount (&job->need),
+                      .estimate_ms = job->estimate_ms,
+                      .runs = { count, runs } };
+
+  flt_ordered (a, &job->need, count);
+  ctr_add (&d->counters, DSP_ORDERS, count);
+  log_line (
+      LOGL_DEBUG, "place",
+      "job=%s agent=%s tasks=%u first=%u free_mcores=%u report_ms=%llu",
+      job->id, a->name, count, runs[0].index, a->free.mcores,
+      (unsigned long long)(clk_since (clk_boot (), a->heard_ns) / CLK_MS));
+  onc_call (a->conn, LVP_ORDER, (xdrproc_t)xdr_lvp_order, &order, NULL, NULL);
+}
+
+/* Send the tasks of JOB that were just placed, one order to each agent.  */
+static void
+send_orders (struct dsp_dispatch *d, struct brd_job *job, uint64_t first_run)
+{
+  lvp_run *runs = talloc_array (NULL, lvp_run, job->count);
+  uint32_t i;
+  uint32_t j;
+
+  for (i = 0; i < job->count; i++)
+    {
+      struct flt_agent *a = dsp_agent_of (&job->tasks[i]);
+      unsigned n = 0;
+
+      if (job->tasks[i].state != BRD_PLACED || job->tasks[i].run < first_run)
+        continue;
+      for (j = 0; j < i; j++)
+        if (job->tasks[j].state == BRD_PLACED && job->tasks[j].run >= first_run
+            && dsp_agent_of (&job->tasks[j]) == a)
+          break;
+      if (j < i)
+        continue;
+      for (; j < job->count; j++)
+        if (job->tasks[j].state == BRD_PLACED && job->tasks[j].run >= first_run
+            && dsp_agent_of (&job->tasks[j]) == a)
+          {
+            runs[n].run = job->tasks[j].run;
+            runs[n].index = job->tasks[j].index;
+            runs[n++].attempt = job->tasks[j].attempt;
+          }
+      send_order (d, a, job, runs, n);
+    }
+  talloc_free (runs);
+}
+
+/* Place what fits of JOB.  Return: whether all its waiting tasks did.  */
+static bool
+place_job (struct dsp_dispatch *d, struct brd_job *job)
+{
+  unsigned n = dsp_list_hosts (d, lv_slice_of (job->service));
+  uint64_t first_run = d->board.next_run;
+  uint64_t now = clk_now ();
+  uint32_t waiting = job->waiting;
+  uint32_t i;
+
+  for (i = 0; i < job->count && waiting > 0; i++)
+    {
+      struct brd_task *task = &job->tasks[i];
+      int at;
+
+      if (task->state != BRD_WAITING)
+        continue;
+      at = spt_choose (d->hosts, n, &job->need, index_of (d, n, task->avoid),
+                       gsl_rng_uniform (d->rng));
+      if (at < 0)
+        break;
+      waiting--;
+      brd_place (&d->board, task, d->host_agents[at], now);
+      amt_take (&d->host_agents[at]->free, &job->need);
+      hlt_probe (&d->host_agents[at]->health);
+      d->hosts[at] = flt_host (d->host_agents[at], lv_slice_of (job->service),
+                               d->set.domain, clk_boot ());
+    }
+  if (d->board.next_run > first_run)
+    send_orders (d, job, first_run);
+  return waiting == 0;
+}
+
+/* Agents tell an entry of free room sooner when they know that it waits.  */
+static void
+tell_hungry (struct dsp_dispatch *d)
+{
+  uint64_t now = clk_boot ();
+  struct flt_agent *a;
+
+  if (clk_since (now, d->hungry_ns) < HUNGRY_GAP_NS)
+    return;
+  d->hungry_ns = now;
+  DL_FOREACH (d->fleet.agents, a)
+  if (a->conn != NULL)
+    onc_call (a->conn, LVP_HUNGRY, (xdrproc_t)(void *)xdr_void, NULL, NULL,
+              NULL);
+}
+
+static void
+pump (struct dsp_dispatch *d)
+{
+  struct brd_job *job;
+  struct brd_job *next;
+  unsigned tried = 0;
+
+  brd_sort (&d->board, clk_now ());
+  DL_FOREACH_SAFE (d->board.queue, job, next)
+  {
+    if (!place_job (d, job) && ++tried >= TRY_JOBS)
+      break;
+  }
+  if (d->board.queue != NULL)
+    tell_hungry (d);
+}
+
+static void
+pump_cb (struct tevent_context *ev, struct tevent_immediate *im, void *priv)
+{
+  struct dsp_dispatch *d = priv;
+
+  (void)ev;
+  (void)im;
+  d->pump_set = false;
+  pump (d);
+}
+
+void
+dsp_pump_soon (struct dsp_dispatch *d)
+{
+  if (d->pump_set)
+    return;
+  d->pump_set = true;
+  tevent_schedule_immediate (d->pump, d->ev, pump_cb, d);
+}
--- a/src/runner.h
+++ b/src/runner.h
@@ -79,6 +79,7 @@
   uint64_t incarnation;
   const struct mnn_ops *ops;
   void *ops_priv;
+  void (*looked) (struct rnr_runner *r); /* after each look */
   struct rnb_book book;
   struct rnr_minion minion;
   uint64_t token;
--- /dev/null
+++ b/src/runner_entries.c
@@ -0,0 +1,474 @@
+#include "runner_parts.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <talloc.h>
+#include <utlist.h>
+
+#include "logline.h"
+#include "wire.h"
+
+/* Time between two attempts to reach an entry, ns.  */
+#define DIAL_NS (50 * CLK_MS)
+/* A connection that is not open after this long is tried anew, ns: what was
+   sent to an instance without power is lost.  */
+#define CONNECT_NS (100 * CLK_MS)
+/* A join without an answer for this long is begun anew, ns.  */
+#define JOIN_NS (500 * CLK_MS)
+/* An address that has not answered for this long is forgotten, ns.  */
+#define GONE_NS (20 * CLK_S)
+/* Outcomes that an entry has not taken for this long are dropped, ns.  */
+#define END_KEEP_NS (3 * CLK_S)
+
+/* A report under way: when it was sent, and with ends or not.  */
+struct confirm
+{
+  struct rnr_session *session;
+  uint64_t sent_ns;
+  bool with_ends;
+};
+
+static lvp_report
+make_report (const struct rnr_runner *r, const struct rnr_session *s,
+             uint64_t now_ns)
+{
+  struct amt_amount left = rnb_free (&r->book);
+  lvp_report report = { .stamp_ms = now_ns / CLK_MS,
+                        .synced = r->minion.known && r->book.unknown == 0,
+                        .accepting = rnr_accepting (r, now_ns),
+                        .orders = s->orders,
+                        .total = wir_amount (&r->book.total),
+                        .free = wir_amount (&left) };
+
+  return report;
+}
+
+static struct rnr_session *
+session_of (const struct rnr_runner *r, uint64_t entry)
+{
+  struct rnr_session *s;
+
+  DL_FOREACH (r->sessions, s)
+  if (s->joined && s->entry == entry)
+    return s;
+  return NULL;
+}
+
+static struct rnr_session *
+add_session (struct rnr_runner *r, const lvp_endpoint *at)
+{
+  struct rnr_session *s;
+
+  DL_FOREACH (r->sessions, s)
+  if (s->at.addr == at->addr && s->at.port == at->port)
+    return s;
+  s = talloc_zero (r->mem_ctx, struct rnr_session);
+  s->runner = r;
+  s->at = *at;
+  net_format (at->addr, at->port, s->text);
+  DL_APPEND (r->sessions, s);
+  log_line (LOGL_INFO, "entry-known", "entry=%s", s->text);
+  return s;
+}
+
+static void
+learn_entries (struct rnr_runner *r, const lvp_endpoints *entries)
+{
+  uint64_t now = clk_boot ();
+  u_int i;
+
+  for (i = 0; i < entries->lvp_endpoints_len; i++)
+    add_session (r, &entries->lvp_endpoints_val[i])->named_ns = now;
+}
+
+/* What S has sent and not confirmed is to be sent again.  */
+static void
+unsend_ends (struct rnr_session *s)
+{
+  struct rnr_end *end;
+
+  s->ends_under_way = 0;
+  DL_FOREACH (s->runner->ends, end)
+  if (end->owner == s->entry)
+    end->sent = false;
+}
+
+static void
+forget_ends (struct rnr_session *s)
+{
+  struct rnr_end *end;
+  struct rnr_end *next;
+
+  DL_FOREACH_SAFE (s->runner->ends, end, next)
+  if (end->sent && end->owner == s->entry)
+    {
+      DL_DELETE (s->runner->ends, end);
+      talloc_free (end);
+    }
+}
+
+static void
+report_answered (struct onc_conn *conn, int err, XDR *res, void *priv)
+{
+  struct confirm *confirm = priv;
+  struct rnr_session *s = confirm->session;
+  lvp_report_res out;
+
+  (void)conn;
+  if (err == 0 && WIR_DECODE (lvp_report_res, res, &out))
+    {
+      if (confirm->sent_ns > s->confirmed_ns)
+        s->confirmed_ns = confirm->sent_ns;
+      s->hungry = out.hungry;
+      learn_entries (s->runner, &out.entries);
+      WIR_FREE (lvp_report_res, &out);
+      if (confirm->with_ends && --s->ends_under_way == 0)
+        forget_ends (s);
+    }
+  talloc_free (confirm);
+}
+
+static struct confirm *
+begin_report (struct rnr_session *s, uint64_t now_ns, bool with_ends)
+{
+  struct confirm *confirm = talloc_zero (s->runner->mem_ctx, struct confirm);
+
+  confirm->session = s;
+  confirm->sent_ns = now_ns;
+  confirm->with_ends = with_ends;
+  s->reported_ns = now_ns;
+  s->told = true;
+  return confirm;
+}
+
+static void
+send_report (struct rnr_session *s)
+{
+  uint64_t now = clk_boot ();
+  lvp_report report = make_report (s->runner, s, now);
+  struct confirm *confirm = begin_report (s, now, false);
+
+  if (onc_call (s->conn, LVP_REPORT, (xdrproc_t)xdr_lvp_report, &report,
+                report_answered, confirm)
+      != 0)
+    talloc_free (confirm);
+}
+
+/* Send S the ends that it has not been sent.  */
+static void
+send_ends (struct rnr_session *s)
+{
+  struct rnr_runner *r = s->runner;
+  uint64_t now = clk_boot ();
+  struct confirm *confirm;
+  struct rnr_end *end;
+  lvp_ends ends = { 0 };
+  u_int n = 0;
+
+  DL_FOREACH (r->ends, end)
+  n += !end->sent && end->owner == s->entry;
+  if (n == 0)
+    return;
+  if (n > LVP_RUNS_MAX)
+    n = LVP_RUNS_MAX;
+  ends.ends.lvp_end_list_val = talloc_array (NULL, lvp_end, n);
+  DL_FOREACH (r->ends, end)
+  if (!end->sent && end->owner == s->entry && ends.ends.lvp_end_list_len < n)
+    {
+      ends.ends.lvp_end_list_val[ends.ends.lvp_end_list_len++] = end->end;
+      end->sent = true;
+    }
+  ends.report = make_report (r, s, now);
+  confirm = begin_report (s, now, true);
+  s->ends_under_way++;
+  if (onc_call (s->conn, LVP_ENDS, (xdrproc_t)xdr_lvp_ends, &ends,
+                report_answered, confirm)
+      != 0)
+    {
+      talloc_free (confirm);
+      unsend_ends (s);
+    }
+  talloc_free (ends.ends.lvp_end_list_val);
+}
+
+/* Ends to whom they concern, room to those who wait for it.  */
+void
+rnr_tell_entries (struct rnr_runner *r, bool all)
+{
+  struct rnr_session *s;
+
+  DL_FOREACH (r->sessions, s)
+  {
+    if (!s->joined)
+      continue;
+    s->told = false;
+    send_ends (s);
+    if (!s->told && (all || s->hungry))
+      send_report (s);
+  }
+}
+
+static void
+take_order (struct rnr_session *s, const lvp_order *order)
+{
+  struct rnr_runner *r = s->runner;
+  uint64_t now = clk_boot ();
+  bool fresh = chn_fresh (order->stamp_ms * CLK_MS, now)
+               && chn_fresh (s->confirmed_ns, now);
+  bool open = rnr_accepting (r, now);
+  u_int i;
+
+  s->orders++;
+  ctr_add (&r->counters, RNR_ORDERED, order->runs.runs_len);
+  if (!fresh || !open)
+    log_line (LOGL_INFO, "order-refused",
+              "job=%s tasks=%u why=%s stamp_age_ms=%llu confirmed_age_ms=%llu",
+              order->job, order->runs.runs_len, fresh ? "leaving" : "stale",
+              (unsigned long long)(now / CLK_MS - order->stamp_ms),
+              (unsigned long long)(clk_since (now, s->confirmed_ns) / CLK_MS));
+  for (i = 0; i < order->runs.runs_len; i++)
+    if (fresh && open)
+      rnr_start_run (r, s->entry, order, &order->runs.runs_val[i], now);
+    else
+      rnr_keep_end (r, s->entry, order->runs.runs_val[i].run,
+                    fresh ? LVP_HOW_LEAVING : LVP_HOW_STALE, 0);
+  if (!fresh)
+    ctr_add (&r->counters, RNR_STALE, order->runs.runs_len);
+  send_ends (s);
+}
+
+static void
+on_order (struct rnr_session *s, XDR *args)
+{
+  lvp_order order;
+
+  if (!s->joined || !WIR_DECODE (lvp_order, args, &order))
+    {
+      onc_close (s->conn, -EPROTO, "order without a join");
+      return;
+    }
+  take_order (s, &order);
+  WIR_FREE (lvp_order, &order);
+}
+
+static void
+on_stop (struct rnr_session *s, XDR *args)
+{
+  struct rnr_runner *r = s->runner;
+  lvp_stop stop;
+  u_int i;
+
+  if (!WIR_DECODE (lvp_stop, args, &stop))
+    {
+      onc_close (s->conn, -EBADMSG, "stop cannot be decoded");
+      return;
+    }
+  for (i = 0; i < stop.runs.runs_len; i++)
+    {
+      struct rnb_run *run
+          = rnb_find_number (&r->book, s->entry, stop.runs.runs_val[i]);
+
+      if (run != NULL)
+        rnb_stop (&r->book, run, clk_boot ());
+    }
+  WIR_FREE (lvp_stop, &stop);
+}
+
+static void
+on_call (struct onc_conn *conn, uint32_t xid, uint32_t proc, XDR *args,
+         void *priv)
+{
+  struct rnr_session *s = priv;
+
+  (void)xid;
+  if (proc == LVP_ORDER)
+    on_order (s, args);
+  else if (proc == LVP_STOP)
+    on_stop (s, args);
+  else if (proc == LVP_HUNGRY)
+    s->hungry = true;
+  else
+    onc_close (conn, -EPROTO, "unknown procedure");
+}
+
+static void
+on_closed (struct onc_conn *conn, const struct err_error *err, void *priv)
+{
+  struct rnr_session *s = priv;
+
+  (void)conn;
+  if (s->joined)
+    {
+      ctr_add (&s->runner->counters, RNR_SESSIONS_LOST, 1);
+      log_line (LOGL_INFO, "entry-lost", "entry=%s code=%d why=\"%s\"",
+                s->text, err->code, err->detail);
+    }
+  s->conn = NULL;
+  s->joined = false;
+  unsend_ends (s);
+}
+
+static void
+joined (struct onc_conn *conn, int err, XDR *res, void *priv)
+{
+  struct confirm *confirm = priv;
+  struct rnr_session *s = confirm->session;
+  uint64_t sent_ns = confirm->sent_ns;
+  lvp_join_res out;
+
+  talloc_free (confirm);
+  if (err != 0)
+    return;
+  if (!WIR_DECODE (lvp_join_res, res, &out))
+    {
+      onc_close (conn, -EBADMSG, "answer to a join cannot be decoded");
+      return;
+    }
+  if (s->entry != 0 && s->entry != out.incarnation)
+    rnb_stop_owner (&s->runner->book, s->entry, clk_boot ());
+  s->entry = out.incarnation;
+  s->joined = true;
+  s->confirmed_ns = sent_ns;
+  s->hungry = out.report.hungry;
+  log_line (LOGL_INFO, "entry-joined", "entry=%s incarnation=%llx", s->text,
+            (unsigned long long)s->entry);
+  learn_entries (s->runner, &out.report.entries);
+  WIR_FREE (lvp_join_res, &out);
+  send_ends (s);
+}
+
+/* Numbers of the runs and untaken ends that belong to the entry of S.  */
+static u_quad_t *
+list_runs (const struct rnr_session *s, u_int *count)
+{
+  const struct rnr_runner *r = s->runner;
+  u_quad_t *runs = talloc_array (NULL, u_quad_t, LVP_RUNS_MAX);
+  const struct rnb_run *run;
+  const struct rnr_end *end;
+  u_int n = 0;
+
+  for (run = r->book.runs; run != NULL && n < LVP_RUNS_MAX; run = run->hh.next)
+    if (run->owner == s->entry && run->owner != 0)
+      runs[n++] = run->number;
+  DL_FOREACH (r->ends, end)
+  if (end->owner == s->entry && n < LVP_RUNS_MAX)
+    runs[n++] = end->end.run;
+  *count = n;
+  return runs;
+}
+
+static void
+send_join (struct rnr_session *s, uint64_t now_ns)
+{
+  struct rnr_runner *r = s->runner;
+  struct confirm *confirm = begin_report (s, now_ns, false);
+  lvp_join join = { .name = (char *)r->set.name,
+                    .incarnation = r->incarnation,
+                    .service = (char *)r->set.service,
+                    .domain = (char *)r->set.domain,
+                    .entry = s->entry,
+                    .report = make_report (r, s, now_ns) };
+
+  join.runs.runs_val = list_runs (s, &join.runs.runs_len);
+  if (onc_call (s->conn, LVP_JOIN, (xdrproc_t)xdr_lvp_join, &join, joined,
+                confirm)
+      != 0)
+    talloc_free (confirm);
+  talloc_free (join.runs.runs_val);
+}
+
+static void
+dial (struct rnr_session *s, uint64_t now_ns)
+{
+  struct rnr_runner *r = s->runner;
+  struct onc_handler handler = { on_call, on_closed, s };
+  int fd = net_connect (s->text, NULL);
+
+  s->dialed_ns = now_ns;
+  if (fd < 0)
+    {
+      log_line (LOGL_WARN, "entry-dial", "entry=%s code=%d", s->text, fd);
+      return;
+    }
+  s->orders = 0;
+  s->conn = onc_attach (r->mem_ctx, r->ev, fd, s->text, &handler);
+  send_join (s, now_ns);
+}
+
+static void
+tick_session (struct rnr_session *s, uint64_t now_ns)
+{
+  if (s->conn == NULL)
+    {
+      if (clk_since (now_ns, s->dialed_ns) >= DIAL_NS)
+        dial (s, now_ns);
+    }
+  else if (!s->joined)
+    {
+      bool open = onc_last_sent (s->conn) != 0;
+
+      if (clk_since (now_ns, s->dialed_ns) >= (open ? JOIN_NS : CONNECT_NS))
+        onc_close (s->conn, -ETIMEDOUT, "no answer to a join");
+    }
+  else if (!chn_fresh (s->confirmed_ns, now_ns))
+    onc_close (s->conn, -ETIMEDOUT, "no answer to reports");
+  else if (clk_since (now_ns, s->reported_ns) >= CHN_REPORT_NS)
+    send_report (s);
+  /* Nobody confirms what runs for this entry: it must end before the entry
+     takes it to have ended.  */
+  if (s->entry != 0 && !chn_fresh (s->confirmed_ns, now_ns))
+    rnb_stop_owner (&s->runner->book, s->entry, now_ns);
+}
+
+void
+rnr_tick_sessions (struct rnr_runner *r, uint64_t now_ns)
+{
+  struct rnr_session *s;
+  struct rnr_session *next;
+
+  DL_FOREACH_SAFE (r->sessions, s, next)
+  {
+    tick_session (s, now_ns);
+    if (s->conn != NULL || s->named_ns == 0
+        || clk_since (now_ns, s->named_ns) < GONE_NS)
+      continue;
+    log_line (LOGL_INFO, "entry-gone", "entry=%s", s->text);
+    DL_DELETE (r->sessions, s);
+    talloc_free (s);
+  }
+}
+
+void
+rnr_drop_old_ends (struct rnr_runner *r, uint64_t now_ns)
+{
+  struct rnr_end *end;
+  struct rnr_end *next;
+
+  DL_FOREACH_SAFE (r->ends, end, next)
+  if (clk_since (now_ns, end->since_ns) > END_KEEP_NS
+      && session_of (r, end->owner) == NULL)
+    {
+      DL_DELETE (r->ends, end);
+      talloc_free (end);
+    }
+}
+
+void
+rnr_seeds (struct rnr_runner *r, const struct set_strings *seeds)
+{
+  struct sockaddr_in address;
+  lvp_endpoint at;
+  unsigned i;
+
+  for (i = 0; i < seeds->count; i++)
+    {
+      if (net_parse (&address, seeds->item[i]) != 0)
+        {
+          log_line (LOGL_WARN, "bad-seed", "text=%.60s", seeds->item[i]);
+          continue;
+        }
+      at.addr = ntohl (address.sin_addr.s_addr);
+      at.port = ntohs (address.sin_port);
+      add_session (r, &at);
+    }
+}
--- /dev/null
+++ b/src/runner_minion.c
@@ -0,0 +1,297 @@
+#include "runner_parts.h"
+
+#include <stdio.h>
+#include <talloc.h>
+#include <utlist.h>
+
+#include "logline.h"
+#include "wire.h"
+
+/* Time for which a look waits for an end, ms; the lease is renewed at each. */
+#define LOOK_WAIT_MS 50
+
+bool
+rnr_accepting (const struct rnr_runner *r, uint64_t now_ns)
+{
+  const struct rnr_minion *m = &r->minion;
+
+  return !r->leaving && !m->leaving && m->known && m->incarnation != 0
+         && m->room_incarnation == m->incarnation
+         && clk_since (now_ns, m->seen_ns) < RNR_SEEN_NS;
+}
+
+static struct mnn_lease
+lease_now (struct rnr_runner *r, uint64_t now_ns)
+{
+  struct rnr_minion *m = &r->minion;
+  struct mnn_lease lease = { .token = r->token };
+  uint64_t lease_ns = CHN_LEASE_NS;
+
+  if (lease_ns > r->set.lease_max_ms * CLK_MS)
+    lease_ns = r->set.lease_max_ms * CLK_MS;
+  if (m->clock_ns != 0)
+    {
+      lease.expires_ms
+          = m->clock_ms + (now_ns - m->clock_ns + lease_ns) / CLK_MS;
+      m->lease_end_ns = chn_lease_end (now_ns, lease_ns);
+    }
+  return lease;
+}
+
+static void
+note_result (struct rnr_runner *r, const struct mnn_result *result)
+{
+  if (result->clock_ms != 0)
+    {
+      r->minion.clock_ms = result->clock_ms;
+      r->minion.clock_ns = clk_boot ();
+    }
+  if (result->answer == MNN_UNANSWERED)
+    ctr_add (&r->counters, RNR_UNANSWERED, 1);
+  if (result->answer != MNN_FENCED)
+    return;
+  r->token += r->token_step;
+  r->token_step *= 2;
+  ctr_add (&r->counters, RNR_FENCED, 1);
+  log_line (LOGL_INFO, "fencing-token", "why=refused next=%llu",
+            (unsigned long long)r->token);
+}
+
+struct start
+{
+  struct rnr_runner *runner;
+  char name[RNB_NAME_MAX];
+  uint32_t attempt;
+};
+
+/* The run that an answer is about, unless it has ended meanwhile.  */
+static struct rnb_run *
+run_of (const struct start *start)
+{
+  struct rnb_run *run
+      = rnb_find (&start->runner->book, lv_slice_of (start->name));
+
+  return run != NULL && run->attempt == start->attempt ? run : NULL;
+}
+
+static struct start *
+remember (struct rnr_runner *r, const struct rnb_run *run)
+{
+  struct start *start = talloc_zero (r->mem_ctx, struct start);
+
+  start->runner = r;
+  memcpy (start->name, run->name, sizeof start->name);
+  start->attempt = run->attempt;
+  return start;
+}
+
+static void
+stop_answered (const struct mnn_result *result, void *arg)
+{
+  struct start *start = arg;
+  struct rnb_run *run = run_of (start);
+
+  note_result (start->runner, result);
+  if (run != NULL && result->answer == MNN_OK)
+    rnb_barred (&start->runner->book, run, clk_boot ());
+  talloc_free (start);
+}
+
+void
+rnr_order_stop (struct rnb_run *run, void *priv)
+{
+  struct rnr_runner *r = priv;
+
+  r->ops->stop (r->ops_priv, run, r->token, stop_answered, remember (r, run));
+}
+
+static void
+start_answered (const struct mnn_result *result, void *arg)
+{
+  struct start *start = arg;
+  struct rnr_runner *r = start->runner;
+  struct rnb_run *run = run_of (start);
+
+  note_result (r, result);
+  talloc_free (start);
+  if (run == NULL || run->state != RNB_STARTING)
+    return;
+  switch (result->answer)
+    {
+    case MNN_OK:
+      ctr_add (&r->counters, RNR_STARTED, 1);
+      rnb_started (&r->book, run, clk_boot ());
+      break;
+    case MNN_UNANSWERED:
+      log_line (LOGL_INFO, "start-unanswered", "task=%s attempt=%u", run->name,
+                run->attempt);
+      rnb_stop (&r->book, run, clk_boot ());
+      break;
+    case MNN_OLD:
+      rnb_refused (&r->book, run, RNB_OLD);
+      break;
+    default:
+      rnb_refused (&r->book, run, RNB_REFUSED);
+    }
+}
+
+void
+rnr_keep_end (struct rnr_runner *r, uint64_t owner, uint64_t number,
+              lvp_how how, uint32_t ran_ms)
+{
+  struct rnr_end *end = talloc_zero (r->mem_ctx, struct rnr_end);
+
+  end->owner = owner;
+  end->end.run = number;
+  end->end.how = how;
+  end->end.ran_ms = ran_ms;
+  end->since_ns = clk_boot ();
+  DL_APPEND (r->ends, end);
+}
+
+static void
+count_end (struct rnr_runner *r, enum rnb_how how)
+{
+  static const enum rnr_counter ids[] = {
+    [RNB_DONE] = RNR_DONE,       [RNB_FAILED] = RNR_FAILED,
+    [RNB_STOPPED] = RNR_STOPPED, [RNB_LAPSED] = RNR_LAPSED,
+    [RNB_REFUSED] = RNR_REFUSED, [RNB_OLD] = RNR_REFUSED,
+    [RNB_STALLED] = RNR_STOPPED,
+  };
+
+  ctr_add (&r->counters, ids[how], 1);
+}
+
+void
+rnr_run_ended (struct rnb_run *run, enum rnb_how how, void *priv)
+{
+  static const lvp_how hows[] = {
+    [RNB_DONE] = LVP_HOW_DONE,       [RNB_FAILED] = LVP_HOW_FAILED,
+    [RNB_STOPPED] = LVP_HOW_STOPPED, [RNB_LAPSED] = LVP_HOW_LAPSED,
+    [RNB_REFUSED] = LVP_HOW_REFUSED, [RNB_OLD] = LVP_HOW_OLD,
+    [RNB_STALLED] = LVP_HOW_STALLED,
+  };
+  static const char *const names[] = {
+    [RNB_DONE] = "done",       [RNB_FAILED] = "failed",
+    [RNB_STOPPED] = "stopped", [RNB_LAPSED] = "lapsed",
+    [RNB_REFUSED] = "refused", [RNB_OLD] = "old",
+    [RNB_STALLED] = "stalled",
+  };
+  struct rnr_runner *r = priv;
+  uint64_t ran_ns = clk_since (clk_boot (), run->ordered_ns);
+
+  count_end (r, how);
+  log_often (LOGL_INFO, "run-end",
+             "task=%s attempt=%u how=%s ran_ms=%llu percent=%u", run->name,
+             run->attempt, names[how], (unsigned long long)(ran_ns / CLK_MS),
+             run->percent);
+  if (run->owner != 0)
+    rnr_keep_end (r, run->owner, run->number, hows[how],
+                  (uint32_t)(ran_ns / CLK_MS));
+}
+
+void
+rnr_start_run (struct rnr_runner *r, uint64_t entry, const lvp_order *order,
+               const lvp_run *wanted, uint64_t now_ns)
+{
+  struct amt_amount need = wir_to_amount (&order->need);
+  struct mnn_lease lease = lease_now (r, now_ns);
+  char name[RNB_NAME_MAX];
+  struct rnb_run *run;
+
+  snprintf (name, sizeof name, "%s.%u", order->job, wanted->index);
+  run = rnb_order (&r->book, lv_slice_of (name), wanted->attempt, &need,
+                   now_ns);
+  if (run == NULL)
+    {
+      ctr_add (&r->counters, RNR_NO_ROOM, 1);
+      rnr_keep_end (r, entry, wanted->run, LVP_HOW_NO_ROOM, 0);
+      return;
+    }
+  run->owner = entry;
+  run->number = wanted->run;
+  run->estimate_ms = order->estimate_ms;
+  r->ops->start (r->ops_priv, run, wir_slice (&order->spec), &lease,
+                 start_answered, remember (r, run));
+}
+
+static void
+minion_reborn (struct rnr_runner *r, const struct mnn_view *view)
+{
+  struct rnr_minion *m = &r->minion;
+
+  log_line (LOGL_INFO, "minion", "incarnation=%llu before=%llu running=%u",
+            (unsigned long long)view->incarnation,
+            (unsigned long long)m->incarnation, view->running_count);
+  if (m->incarnation != 0)
+    rnb_all_gone (&r->book);
+  m->incarnation = view->incarnation;
+  m->ends_through = 0;
+  if (m->room_incarnation != view->incarnation)
+    m->leaving = false;
+}
+
+static void
+see_minion (struct rnr_runner *r, const struct mnn_view *view)
+{
+  struct rnr_minion *m = &r->minion;
+  uint64_t now = clk_boot ();
+
+  if (view->incarnation != m->incarnation)
+    minion_reborn (r, view);
+  rnb_list_ends (&r->book, view->ends, view->end_count);
+  rnb_list_running (&r->book, view->running, view->running_count, m->looked_ns,
+                    now);
+  if (view->ends_through > m->ends_through)
+    m->ends_through = view->ends_through;
+  m->seen_ns = now;
+  m->known = true;
+  r->token_step = RNR_TOKEN_STEP;
+}
+
+/* Nothing answers at the minion, or the last lease there has lapsed.  */
+void
+rnr_minion_gone (struct rnr_runner *r, const char *why)
+{
+  if (r->minion.incarnation != 0 || !r->minion.known)
+    log_line (LOGL_INFO, "minion-gone", "why=%s runs=%u", why,
+              HASH_COUNT (r->book.runs));
+  rnb_all_gone (&r->book);
+  r->minion.known = true;
+  r->minion.incarnation = 0;
+}
+
+static void
+looked (const struct mnn_view *view, void *arg)
+{
+  struct rnr_runner *r = arg;
+
+  r->minion.looking = false;
+  note_result (r, &view->result);
+  log_line (LOGL_DEBUG, "look", "answer=%d took_ms=%llu ends=%u running=%u",
+            view->result.answer,
+            (unsigned long long)(clk_since (clk_boot (), r->minion.looked_ns)
+                                 / CLK_MS),
+            view->end_count, view->running_count);
+  if (view->result.answer == MNN_OK)
+    see_minion (r, view);
+  else if (view->result.answer == MNN_ABSENT)
+    rnr_minion_gone (r, "absent");
+  r->looked (r);
+  if (view->result.answer == MNN_OK || view->result.answer == MNN_FENCED)
+    rnr_look (r);
+}
+
+void
+rnr_look (struct rnr_runner *r)
+{
+  struct mnn_lease lease;
+
+  if (r->minion.looking)
+    return;
+  r->minion.looking = true;
+  r->minion.looked_ns = clk_boot ();
+  lease = lease_now (r, r->minion.looked_ns);
+  r->ops->look (r->ops_priv, &lease, r->minion.ends_through, LOOK_WAIT_MS,
+                looked, r);
+}
--- /dev/null
+++ b/src/runner_parts.h
@@ -0,0 +1,92 @@
+/**
+ * DOC: runner_parts
+ *
+ * What the parts of the runner call of each other.  Calls run one way:
+ *
+ *   runner.c           life of the process, reports of the minion, ticks
+ *   runner_entries.c   entries: connections, reports, orders
+ *   runner_minion.c    the minion: lease, starts, stops, looks
+ *
+ * The minion's part reports back through rnr_runner.looked.
+ */
+#ifndef LV_RUNNER_PARTS_H
+#define LV_RUNNER_PARTS_H
+
+#include "clock.h"
+#include "net.h"
+#include "onc.h"
+#include "runner.h"
+
+/**
+ * struct rnr_session - an entry, reached or not
+ * @entry: incarnation that last took a join
+ * @confirmed_ns: when the newest report was sent that the entry has answered
+ * @orders: that came on this connection
+ */
+struct rnr_session
+{
+  struct rnr_runner *runner;
+  lvp_endpoint at;
+  char text[NET_TEXT_MAX];
+  struct onc_conn *conn;
+  bool joined;
+  bool hungry;
+  bool told; /* in this turn */
+  uint64_t entry;
+  uint64_t confirmed_ns;
+  uint64_t reported_ns;
+  uint64_t dialed_ns;
+  uint64_t named_ns;
+  uint64_t orders;
+  unsigned ends_under_way;
+  struct rnr_session *prev;
+  struct rnr_session *next;
+};
+
+/** struct rnr_end - an outcome that its entry has not taken yet */
+struct rnr_end
+{
+  uint64_t owner;
+  lvp_end end;
+  bool sent;
+  uint64_t since_ns;
+  struct rnr_end *prev;
+  struct rnr_end *next;
+};
+
+/* runner_entries.c */
+
+/** rnr_tell_entries() - ends to whom they concern, room to those who wait for
+ * it or to @all. */
+void rnr_tell_entries (struct rnr_runner *r, bool all);
+/** rnr_tick_sessions() - dial, report, give up; stop what nobody confirms. */
+void rnr_tick_sessions (struct rnr_runner *r, uint64_t now_ns);
+/** rnr_drop_old_ends() - forget outcomes that no entry takes. */
+void rnr_drop_old_ends (struct rnr_runner *r, uint64_t now_ns);
+
+/* runner_minion.c */
+
+/** rnr_accepting() - whether tasks may be started now. */
+bool rnr_accepting (const struct rnr_runner *r, uint64_t now_ns);
+/** rnr_start_run() - start one task of an order of @entry, or refuse it. */
+void rnr_start_run (struct rnr_runner *r, uint64_t entry,
+                    const lvp_order *order, const lvp_run *wanted,
+                    uint64_t now_ns);
+/** rnr_keep_end() - keep an outcome until its entry has taken it. */
+void rnr_keep_end (struct rnr_runner *r, uint64_t owner, uint64_t number,
+                   lvp_how how, uint32_t ran_ms);
+/** rnr_look() - renew the lease and ask what runs, unless that is under way.
+ */
+void rnr_look (struct rnr_runner *r);
+/** rnr_minion_gone() - nothing runs at the minion any more. */
+void rnr_minion_gone (struct rnr_runner *r, const char *why);
+/** Callbacks of the run book. */
+void rnr_order_stop (struct rnb_run *run, void *priv);
+void rnr_run_ended (struct rnb_run *run, enum rnb_how how, void *priv);
+
+/** A minion whose last answer is older than this is given no work, ns. */
+#define RNR_SEEN_NS (450 * CLK_MS)
+/** First step by which a refused fencing token is raised; it doubles. */
+#define RNR_TOKEN_STEP 1000
+
+#endif
--- /dev/null
+++ b/tools/deploy_check.py
@@ -0,0 +1,64 @@
+#!/usr/bin/env python3
+"""Renders the templates under deploy/ with example fields, as the platform does,
+and lets the built programs check the result."""
+import json
+import os
+import re
+import subprocess
+import sys
+import tempfile
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+FIELDS = {
+    "node_name": "edge-1", "zone": "z1", "ip": "10.0.0.1",
+    "service": "cutting", "app": "10.0.0.1:8165",
+    "listen_addrs": {"front": "10.0.0.1:8161", "ready_addr": "10.0.0.1:8167",
+                     "control": "10.0.0.1:8166"},
+    "seeds": ["10.0.0.1:8166", "10.0.0.2:8166"],
+    "platform": {"address": "10.0.0.9:8169"},
+    "bounds": {"max_hold_ms": 1000},
+}
+PROGRAMS = {"entry.json": "lagoonvale-dispatcher",
+            "agent.json": "lagoonvale-runner"}
+
+
+def look_up(name, fields):
+    for part in name.split("."):
+        fields = fields[part]
+    return str(fields)
+
+
+def section(match, fields):
+    rows = fields[match.group(1)]
+    return "".join(match.group(2).replace("{{.}}", row).replace(
+        "{{,}}", "," if i + 1 < len(rows) else "")
+        for i, row in enumerate(rows))
+
+
+def render(text, fields):
+    text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}",
+                  lambda m: section(m, fields), text, flags=re.S)
+    return re.sub(r"\{\{([\w.]+)\}\}", lambda m: look_up(m.group(1), fields),
+                  text)
+
+
+def main():
+    failed = 0
+    with tempfile.TemporaryDirectory() as where:
+        for template, program in PROGRAMS.items():
+            for seeds in (FIELDS["seeds"], []):
+                with open(os.path.join(ROOT, "deploy/templates",
+                                       template)) as f:
+                    text = render(f.read(), dict(FIELDS, seeds=seeds))
+                json.loads(text)
+                path = os.path.join(where, template)
+                with open(path, "w") as f:
+                    f.write(text)
+                failed += subprocess.run(
+                    [os.path.join(ROOT, "target", program), "--check",
+                     path]).returncode != 0
+    return failed
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tools/platform_cluster.py
+++ b/tools/platform_cluster.py
@@ -111,9 +111,10 @@
 
     def start_entry(self, i, **more):
         name = "entry-%d" % i
+        if name in self.routes:
+            more = dict(more, advertise=self.routes[name])
         path = self.settings(name, dict({
-            "domain": "d%d" % i, "store": self.store.address,
-            "advertise": self.routes.get(name, self.addresses[i]["rpc"])},
+            "domain": "d%d" % i, "store": self.store.address},
             **self.addresses[i], **more))
         argv = [os.path.join(BUILD, "lagoonvale-dispatcher"), path]
         return self.add(name, argv, self.addresses[i]["jobs"],
