--- a/src/runbook.c
+++ b/src/runbook.c
@@ -32,10 +32,8 @@
 void
 rnb_finish (struct rnb_book *b)
 {
-  struct rnb_run *run;
-  struct rnb_run *next;
-
-  HASH_ITER (hh, b->runs, run, next) { drop (b, run); }
+  while (b->runs != NULL)
+    drop (b, b->runs);
 }
 
 static void
@@ -225,10 +223,8 @@
 void
 rnb_all_gone (struct rnb_book *b)
 {
-  struct rnb_run *run;
-  struct rnb_run *next;
-
-  HASH_ITER (hh, b->runs, run, next) { end (b, run, RNB_LAPSED); }
+  while (b->runs != NULL)
+    end (b, b->runs, RNB_LAPSED);
 }
 
 static bool
