--- a/include/lagoonvale/board.h
+++ b/include/lagoonvale/board.h
@@ -3,8 +3,9 @@
  *
  * The jobs that an entry has taken and not answered yet, as tasks that wait,
  * run at an agent, or may still run at an agent that is out of touch.  Jobs
- * wait in the order of their latest start that meets the target ("least slack
- * first"); those that cannot meet it any more wait behind all others.  Pure.
+ * wait by priority, then in the order of their latest start that meets the
+ * target ("least slack first"); those that have not begun and cannot meet it
+ * any more wait behind all others.  Pure.
  */
 #ifndef LV_BOARD_H
 #define LV_BOARD_H
@@ -19,7 +20,7 @@
 
 /** Bytes of a job's id, with NUL. */
 #define BRD_ID_MAX 64
-/** An answer after so many times the target is of no use to the caller. */
+/** An answer after so many times the target is of no use to most callers. */
 #define BRD_LATE_FACTOR 3
 
 /** enum brd_state - where a task stands */
--- a/src/board.c
+++ b/src/board.c
@@ -136,6 +136,18 @@
   talloc_free (job);
 }
 
+/* A job that has begun keeps its place while its answer is still of use: most
+   of its work may be done.  */
+static bool
+is_late (const struct brd_job *job, uint64_t now_ns)
+{
+  uint64_t allowed_ns = clk_since (job->target_ns, job->arrived_ns);
+
+  if (job->orders == 0)
+    return job->start_by_ns < now_ns;
+  return job->arrived_ns + BRD_LATE_FACTOR * allowed_ns < now_ns;
+}
+
 void
 brd_sort (struct brd_board *b, uint64_t now_ns)
 {
@@ -143,7 +155,7 @@
   bool changed = false;
 
   for (job = b->queue; job != NULL && !job->late; job = job->next)
-    if (job->start_by_ns < now_ns)
+    if (is_late (job, now_ns))
       job->late = changed = true;
   if (changed)
     DL_SORT (b->queue, by_order);
--- a/tests/unit/dispatch_test.cc
+++ b/tests/unit/dispatch_test.cc
@@ -277,6 +277,24 @@
   EXPECT_EQ (sequence (), "bza");
 }
 
+TEST_F (Board, WhatHasBegunKeepsItsPlaceWhileItIsOfUse)
+{
+  const struct
+  {
+    uint64_t now_ms;
+    const char *sequence;
+  } cases[] = { { 60, "ab" }, { 250, "ab" }, { 301, "ba" } };
+  struct brd_job *job = add ("a", 2, 100);
+  add ("b", 1, 900);
+  brd_place (&board, &job->tasks[0], this, 1);
+  brd_again (&board, &job->tasks[0], false); /* its backend server was lost */
+  for (const auto &c : cases)
+    {
+      brd_sort (&board, c.now_ms * kMs);
+      EXPECT_EQ (sequence (), c.sequence) << c.now_ms;
+    }
+}
+
 TEST_F (Board, CompleteWhenAllTasksHaveEndedWell)
 {
   struct brd_job *job = add ("a", 2);
@@ -430,8 +448,7 @@
       const struct cat_queue *q
           = cat_find (c, lv_slice_of (x.host), lv_slice_of (x.path));
       EXPECT_EQ (q != nullptr, x.found != nullptr) << x.path;
-      if (q != nullptr)
-        EXPECT_STREQ (q->prefix, x.found);
+      EXPECT_STREQ (q != nullptr ? q->prefix : nullptr, x.found);
     }
   talloc_free (c);
 }
