--- a/include/lagoonvale/board.h
+++ b/include/lagoonvale/board.h
@@ -161,6 +161,9 @@
 /** brd_remove() - the job is answered; its runs are no longer known. */
 void brd_remove (struct brd_board *b, struct brd_job *job);
 
+/** brd_useless() - whether an answer would come too late to be of use. */
+bool brd_useless (const struct brd_job *job, uint64_t now_ns);
+
 /** brd_sort() - put jobs that became late behind those that are not. */
 void brd_sort (struct brd_board *b, uint64_t now_ns);
 
--- a/src/board.c
+++ b/src/board.c
@@ -136,16 +136,22 @@
   talloc_free (job);
 }
 
+bool
+brd_useless (const struct brd_job *job, uint64_t now_ns)
+{
+  uint64_t allowed_ns = clk_since (job->target_ns, job->arrived_ns);
+
+  return job->arrived_ns + BRD_LATE_FACTOR * allowed_ns < now_ns;
+}
+
 /* A job that has begun keeps its place while its answer is still of use: most
    of its work may be done.  */
 static bool
 is_late (const struct brd_job *job, uint64_t now_ns)
 {
-  uint64_t allowed_ns = clk_since (job->target_ns, job->arrived_ns);
-
   if (job->orders == 0)
     return job->start_by_ns < now_ns;
-  return job->arrived_ns + BRD_LATE_FACTOR * allowed_ns < now_ns;
+  return brd_useless (job, now_ns);
 }
 
 void
--- a/src/dispatch_jobs.c
+++ b/src/dispatch_jobs.c
@@ -104,6 +104,8 @@
     if (now_ns >= job->deadline_ns)
       answer_job (d, job, job->orders > 0 ? DSP_GAVE_UP : DSP_REFUSED,
                   "deadline");
+    else if (job->orders == 0 && brd_useless (job, now_ns))
+      answer_job (d, job, DSP_REFUSED, "overload");
   }
 }
 
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -79,6 +79,17 @@
         self.assertEqual(c.submit(0, job(mcores=9000000))[0], 503)
         self.assertLess(time.monotonic() - began, 0.5)
 
+    def test_what_cannot_begin_in_time_is_refused_not_held(self):
+        c = self.ready(entries=1, agents=1)
+        filler = Callers(c, workers=3, count=8, run_ms=900)
+        time.sleep(0.3)
+        began = time.monotonic()
+        status, _ = c.submit(0, job(run_ms=20, mcores=8000), wait_ms=5000)
+        took = time.monotonic() - began
+        filler.stop()
+        self.assertEqual(status, 503)
+        self.assertLess(took, 1.0)  # three times its target is 0.3 s
+
     def test_state_pending_and_cancelling(self):
         c = self.ready(entries=1)
         base = "http://%s/rush/" % c.addresses[0]["jobs"]
--- a/tests/unit/dispatch_test.cc
+++ b/tests/unit/dispatch_test.cc
@@ -295,6 +295,19 @@
     }
 }
 
+TEST_F (Board, AnAnswerIsOfUseUpToThreeTimesTheTarget)
+{
+  const struct
+  {
+    uint64_t now_ms;
+    bool useless;
+  } cases[] = { { 1000, false }, { 1100, false }, { 1300, false },
+                { 1301, true } };
+  const struct brd_job *job = add ("a", 1, 100, 0, 1000 * kMs);
+  for (const auto &c : cases)
+    EXPECT_EQ (brd_useless (job, c.now_ms * kMs), c.useless) << c.now_ms;
+}
+
 TEST_F (Board, CompleteWhenAllTasksHaveEndedWell)
 {
   struct brd_job *job = add ("a", 2);
