--- a/src/dispatch_place.c
+++ b/src/dispatch_place.c
@@ -95,36 +95,33 @@
   onc_call (a->conn, LVP_ORDER, (xdrproc_t)xdr_lvp_order, &order, NULL, NULL);
 }
 
-/* Send the tasks of JOB that were just placed, one order to each agent.  */
+/* Send the tasks of JOB that were placed from run FIRST_RUN on, one order to
+   each of the COUNT hosts that has any.  */
 static void
-send_orders (struct dsp_dispatch *d, struct brd_job *job, uint64_t first_run)
+send_orders (struct dsp_dispatch *d, struct brd_job *job, uint64_t first_run,
+             unsigned count)
 {
   lvp_run *runs = talloc_array (NULL, lvp_run, job->count);
+  unsigned h;
   uint32_t i;
-  uint32_t j;
 
-  for (i = 0; i < job->count; i++)
+  for (h = 0; h < count; h++)
     {
-      struct flt_agent *a = dsp_agent_of (&job->tasks[i]);
       unsigned n = 0;
 
-      if (job->tasks[i].state != BRD_PLACED || job->tasks[i].run < first_run)
-        continue;
-      for (j = 0; j < i; j++)
-        if (job->tasks[j].state == BRD_PLACED && job->tasks[j].run >= first_run
-            && dsp_agent_of (&job->tasks[j]) == a)
-          break;
-      if (j < i)
-        continue;
-      for (; j < job->count; j++)
-        if (job->tasks[j].state == BRD_PLACED && job->tasks[j].run >= first_run
-            && dsp_agent_of (&job->tasks[j]) == a)
-          {
-            runs[n].run = job->tasks[j].run;
-            runs[n].index = job->tasks[j].index;
-            runs[n++].attempt = job->tasks[j].attempt;
-          }
-      send_order (d, a, job, runs, n);
+      for (i = 0; i < job->count; i++)
+        {
+          const struct brd_task *task = &job->tasks[i];
+
+          if (task->state != BRD_PLACED || task->run < first_run
+              || dsp_agent_of (task) != d->host_agents[h])
+            continue;
+          runs[n].run = task->run;
+          runs[n].index = task->index;
+          runs[n++].attempt = task->attempt;
+        }
+      if (n > 0)
+        send_order (d, d->host_agents[h], job, runs, n);
     }
   talloc_free (runs);
 }
@@ -158,7 +155,7 @@
                                d->set.domain, clk_boot ());
     }
   if (d->board.next_run > first_run)
-    send_orders (d, job, first_run);
+    send_orders (d, job, first_run, n);
   return waiting == 0;
 }
 
--- a/src/web.c
+++ b/src/web.c
@@ -247,7 +247,7 @@
       return MHD_YES;
     }
   if (r->too_long && !r->answered)
-    web_answer (r, MHD_HTTP_PAYLOAD_TOO_LARGE, "text/plain",
+    web_answer (r, MHD_HTTP_CONTENT_TOO_LARGE, "text/plain",
                 lv_slice_of (too_long), 0);
   if (!r->handed && !r->answered && hand_over (r) != MHD_YES)
     return MHD_NO;
