--- a/src/agent.c
+++ b/src/agent.c
@@ -159,7 +159,6 @@
 static int
 describe_self (struct agt_agent *a)
 {
-  struct sockaddr_in address;
   const char *text
       = a->set.advertise != NULL ? a->set.advertise : a->set.listen;
 
@@ -168,10 +167,8 @@
     return -ENAMETOOLONG;
   strcpy (a->self.name, a->set.name);
   strcpy (a->self.domain, a->set.domain);
-  net_parse (&address, text);
+  net_parse_pair (&a->self.addr, &a->self.port, text);
   a->self.role = ROS_AGENT;
-  a->self.addr = ntohl (address.sin_addr.s_addr);
-  a->self.port = ntohs (address.sin_port);
   a->self.slots = (uint32_t)a->set.slots;
   a->self.incarnation = a->incarnation;
   return 0;
--- a/src/dispatch_jobs.c
+++ b/src/dispatch_jobs.c
@@ -148,10 +148,12 @@
 static bool
 can_hold (struct dsp_dispatch *d, const struct dsp_job *job)
 {
-  unsigned n = dsp_list_hosts (d, lv_slice_of (job->queue->service));
+  unsigned n;
 
-  return clk_since (clk_boot (), d->started_ns) < DSP_START_NS
-         || spt_possible (d->hosts, n, &job->need);
+  if (clk_since (clk_boot (), d->started_ns) < DSP_START_NS)
+    return true;
+  n = dsp_list_hosts (d, lv_slice_of (job->queue->service));
+  return spt_possible (d->hosts, n, &job->need);
 }
 
 /* Whether JOB surely ends while this entry is still there.  */
--- a/src/entry.c
+++ b/src/entry.c
@@ -299,18 +299,15 @@
 static int
 describe_self (struct ent_entry *e)
 {
-  struct sockaddr_in address;
 
   if (strlen (e->set.name) >= ROS_NAME_MAX
       || strlen (e->set.domain) >= ROS_NAME_MAX)
     return -ENAMETOOLONG;
   strcpy (e->self.name, e->set.name);
   strcpy (e->self.domain, e->set.domain);
-  net_parse (&address,
-             e->set.advertise != NULL ? e->set.advertise : e->set.listen);
+  net_parse_pair (&e->self.addr, &e->self.port,
+                  e->set.advertise != NULL ? e->set.advertise : e->set.listen);
   e->self.role = ROS_ENTRY;
-  e->self.addr = ntohl (address.sin_addr.s_addr);
-  e->self.port = ntohs (address.sin_port);
   e->self.incarnation = e->incarnation;
   return 0;
 }
--- a/src/entry_peer.c
+++ b/src/entry_peer.c
@@ -386,10 +386,11 @@
 {
   for (unsigned i = 0; i < e->set.seeds.count; i++)
     {
-      struct sockaddr_in address;
-      if (net_parse (&address, e->set.seeds.item[i]) == 0)
-        obtain_peer (e, 0, ntohl (address.sin_addr.s_addr),
-                     ntohs (address.sin_port));
+      uint32_t addr;
+      uint32_t port;
+
+      if (net_parse_pair (&addr, &port, e->set.seeds.item[i]) == 0)
+        obtain_peer (e, 0, addr, port);
     }
 }
 
--- a/src/net.c
+++ b/src/net.c
@@ -35,6 +35,18 @@
   return inet_pton (AF_INET, host, &address->sin_addr) == 1 ? 0 : -EINVAL;
 }
 
+int
+net_parse_pair (uint32_t *address, uint32_t *port, const char *text)
+{
+  struct sockaddr_in parsed;
+
+  if (net_parse (&parsed, text) != 0)
+    return -EINVAL;
+  *address = ntohl (parsed.sin_addr.s_addr);
+  *port = ntohs (parsed.sin_port);
+  return 0;
+}
+
 void
 net_format (uint32_t address, uint32_t port, char text[NET_TEXT_MAX])
 {
--- a/src/peers.c
+++ b/src/peers.c
@@ -1,6 +1,5 @@
 #include "peers.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <stdio.h>
 #include <talloc.h>
@@ -45,33 +44,23 @@
           const char *self, uint64_t incarnation,
           const struct per_events *events)
 {
-  struct sockaddr_in address;
-
   memset (p, 0, sizeof *p);
-  if (net_parse (&address, self) != 0)
+  if (net_parse_pair (&p->self.addr, &p->self.port, self) != 0)
     return -EINVAL;
   p->mem_ctx = mem_ctx;
   p->ev = ev;
   p->events = *events;
   p->incarnation = incarnation;
-  p->self.addr = ntohl (address.sin_addr.s_addr);
-  p->self.port = ntohs (address.sin_port);
   return 0;
 }
 
-static bool
-same (const lvp_endpoint *a, const lvp_endpoint *b)
-{
-  return a->addr == b->addr && a->port == b->port;
-}
-
 static struct per_peer *
 find (const struct per_peers *p, const lvp_endpoint *at)
 {
   struct per_peer *peer;
 
   DL_FOREACH (p->peers, peer)
-  if (same (&peer->at, at))
+  if (wir_same_endpoint (&peer->at, at))
     return peer;
   return NULL;
 }
@@ -81,7 +70,8 @@
 {
   struct per_peer *peer;
 
-  if (same (at, &p->self) || find (p, at) != NULL || p->count >= PER_MAX - 1)
+  if (wir_same_endpoint (at, &p->self) || find (p, at) != NULL
+      || p->count >= PER_MAX - 1)
     return;
   peer = talloc_zero (p->mem_ctx, struct per_peer);
   peer->all = p;
@@ -96,16 +86,13 @@
 void
 per_add_text (struct per_peers *p, const char *text, uint64_t now_ns)
 {
-  struct sockaddr_in address;
   lvp_endpoint at;
 
-  if (net_parse (&address, text) != 0)
+  if (net_parse_pair (&at.addr, &at.port, text) != 0)
     {
       log_line (LOGL_WARN, "peer-bad-address", "text=%.60s", text);
       return;
     }
-  at.addr = ntohl (address.sin_addr.s_addr);
-  at.port = ntohs (address.sin_port);
   per_add (p, &at, now_ns);
 }
 
--- a/src/runner_entries.c
+++ b/src/runner_entries.c
@@ -1,6 +1,5 @@
 #include "runner_parts.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <talloc.h>
 #include <utlist.h>
@@ -60,7 +59,7 @@
   struct rnr_session *s;
 
   DL_FOREACH (r->sessions, s)
-  if (s->at.addr == at->addr && s->at.port == at->port)
+  if (wir_same_endpoint (&s->at, at))
     return s;
   s = talloc_zero (r->mem_ctx, struct rnr_session);
   s->runner = r;
@@ -456,19 +455,16 @@
 void
 rnr_seeds (struct rnr_runner *r, const struct set_strings *seeds)
 {
-  struct sockaddr_in address;
   lvp_endpoint at;
   unsigned i;
 
   for (i = 0; i < seeds->count; i++)
     {
-      if (net_parse (&address, seeds->item[i]) != 0)
+      if (net_parse_pair (&at.addr, &at.port, seeds->item[i]) != 0)
         {
           log_line (LOGL_WARN, "bad-seed", "text=%.60s", seeds->item[i]);
           continue;
         }
-      at.addr = ntohl (address.sin_addr.s_addr);
-      at.port = ntohs (address.sin_port);
       add_session (r, &at);
     }
 }
--- a/src/wire.h
+++ b/src/wire.h
@@ -70,6 +70,13 @@
   return a;
 }
 
+/** wir_same_endpoint() - whether @a and @b are one address. */
+static inline bool
+wir_same_endpoint (const lvp_endpoint *a, const lvp_endpoint *b)
+{
+  return a->addr == b->addr && a->port == b->port;
+}
+
 /** wir_bytes() - message form of borrowed bytes. */
 static inline lvp_bytes
 wir_bytes (struct lv_slice s)
