A late job keeps its place only while little of it waits

Cause: after an outage every job is begun at once (one of its tasks placed), and what had begun kept its place in the queue up to three times its target. Now a job that cannot meet its target any more keeps its place only while less of it waits than a late answer is worth (a fifth).

The test that all that has begun keeps its place is replaced by two: which of it does, and that a job whose last task is lost goes on as before.

--- a/include/lagoonvale/board.h
+++ b/include/lagoonvale/board.h
@@ -22,6 +22,8 @@
 #define BRD_ID_MAX 64
 /** An answer after so many times the target is of no use to most callers. */
 #define BRD_LATE_FACTOR 3
+/** An answer that is late is worth one part in this many. */
+#define BRD_LATE_WORTH 5
 
 /** enum brd_state - where a task stands */
 enum brd_state
--- a/src/board.c
+++ b/src/board.c
@@ -144,14 +144,15 @@
   return job->arrived_ns + BRD_LATE_FACTOR * allowed_ns < now_ns;
 }
 
-/* A job that has begun keeps its place while its answer is still of use: most
-   of its work may be done.  */
+/* A late job keeps its place only if what is left of it is less than what its
+   answer is still worth: room goes to the jobs that can still be in time.  */
 static bool
 is_late (const struct brd_job *job, uint64_t now_ns)
 {
-  if (job->orders == 0)
-    return job->start_by_ns < now_ns;
-  return brd_useless (job, now_ns);
+  if (job->start_by_ns >= now_ns)
+    return false;
+  return job->waiting * BRD_LATE_WORTH > job->count
+         || brd_useless (job, now_ns);
 }
 
 void
--- a/tests/unit/dispatch_test.cc
+++ b/tests/unit/dispatch_test.cc
@@ -277,16 +277,47 @@
   EXPECT_EQ (sequence (), "bza");
 }
 
-TEST_F (Board, WhatHasBegunKeepsItsPlaceWhileItIsOfUse)
+/* Pattern: after an outage all jobs are begun at once.  Room goes to those that
+   can still be in time; a late one goes on only if little of it is left.  */
+TEST_F (Board, ALateJobKeepsItsPlaceWhileLittleOfItWaits)
+{
+  const struct
+  {
+    uint32_t count;
+    uint32_t waiting;
+    uint64_t now_ms;
+    const char *sequence;
+  } cases[] = {
+    { 10, 10, 50, "ab" }, /* it can still be in time */
+    { 10, 10, 51, "ba" }, { 10, 3, 51, "ba" }, { 10, 2, 51, "ab" },
+    { 5, 1, 250, "ab" },  { 4, 1, 51, "ba" },
+    { 10, 1, 301, "ba" }, /* nobody waits for it any more */
+  };
+  for (const auto &c : cases)
+    {
+      struct brd_job *job = add ("a", c.count, 100);
+      struct brd_job *other = add ("b", 1, 900);
+      for (uint32_t i = c.waiting; i < c.count; i++)
+        brd_place (&board, &job->tasks[i], this, 1);
+      brd_sort (&board, c.now_ms * kMs);
+      EXPECT_EQ (sequence (), c.sequence)
+          << c.waiting << " of " << c.count << " at " << c.now_ms;
+      brd_remove (&board, job);
+      brd_remove (&board, other);
+    }
+}
+
+TEST_F (Board, AJobWhoseLastTaskIsLostGoesOnWhileItIsOfUse)
 {
   const struct
   {
     uint64_t now_ms;
     const char *sequence;
   } cases[] = { { 60, "ab" }, { 250, "ab" }, { 301, "ba" } };
-  struct brd_job *job = add ("a", 2, 100);
+  struct brd_job *job = add ("a", 8, 100);
   add ("b", 1, 900);
-  brd_place (&board, &job->tasks[0], this, 1);
+  for (uint32_t i = 0; i < 8; i++)
+    brd_place (&board, &job->tasks[i], this, 1);
   brd_again (&board, &job->tasks[0], false); /* its backend server was lost */
   for (const auto &c : cases)
     {
