--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES = libtalloc-dev libtevent-dev libtirpc-dev libmicrohttpd-dev \
   libcurl4-openssl-dev libargtable2-dev liblog4c-dev liburcu-dev \
   libgtest-dev libjson-c-dev libgsl-dev libxxhash-dev uthash-dev \
-  nettle-dev   pkg-config python3 gcc g++ make
+  nettle-dev libunistring-dev pkg-config python3 gcc g++ make
 CHECK_PACKAGES = clang-format clang-tidy cppcheck
 
 CC = gcc
@@ -20,7 +20,7 @@
   -Isrc -Iplatform $(PKG_CFLAGS) -MMD -MP -pthread
 ALL_CXXFLAGS = -std=c++17 $(CFLAGS) $(SAN) -Wall -Iinclude -Isrc -Iplatform \
   $(PKG_CFLAGS) -MMD -MP -pthread
-LIBS = -Wl,--as-needed $(PKG_LIBS) -lm -pthread
+LIBS = -Wl,--as-needed $(PKG_LIBS) -lunistring -lm -pthread
 
 LIB_SRC = $(wildcard src/*.c)
 LIB_OBJ = $(LIB_SRC:%.c=$(B)/%.o)
--- a/src/agent_session.c
+++ b/src/agent_session.c
@@ -9,6 +9,7 @@
 #include "logline.h"
 #include "net.h"
 #include "wire.h"
+#include "lagoonvale/name.h"
 
 static void
 drop_older (struct agt_session *s)
@@ -36,6 +37,12 @@
       onc_close (s->conn, -EBADMSG, "hello cannot be decoded");
       return;
     }
+  if (!nam_valid (lv_slice_of (call.name)))
+    {
+      onc_close (s->conn, -EILSEQ, "the name in a hello is not valid");
+      WIR_FREE (lvp_hello, &call);
+      return;
+    }
   s->incarnation = call.incarnation;
   s->number = call.session;
   drop_older (s);
--- a/src/catalog.c
+++ b/src/catalog.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <talloc.h>
+#include "lagoonvale/name.h"
 
 /* Longest host and path that are looked up, bytes.  */
 #define KEY_MAX 512
@@ -28,8 +29,9 @@
 static bool
 whole (const struct cat_queue *q)
 {
-  return q->name != NULL && q->host != NULL && q->prefix != NULL
-         && q->service != NULL;
+  return nam_valid (lv_slice_of (q->name)) && nam_valid (lv_slice_of (q->host))
+         && nam_valid (lv_slice_of (q->prefix))
+         && nam_valid (lv_slice_of (q->service));
 }
 
 int
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -35,6 +35,20 @@
   { "lagoonvale_config_version", "configuration in force", true },
 };
 
+static const struct hst_desc times[] = {
+  { "lagoonvale_job_seconds", "from a job's arrival to its answer", "queue",
+    "outcome" },
+  { "lagoonvale_task_seconds", "from a task's order to its end, ended well",
+    "queue", NULL },
+  { "lagoonvale_order_seconds", "from an order to the report that knows it",
+    "domain", NULL },
+  { "lagoonvale_store_seconds", "calls of the store", "call", "outcome" },
+  { "lagoonvale_recovery_seconds",
+    "from a start to its first complete job, from an agent's loss to its "
+    "return",
+    "what", NULL },
+};
+
 static void
 on_call (struct onc_conn *conn, uint32_t xid, uint32_t proc, XDR *args,
          void *priv)
@@ -231,6 +245,7 @@
   brd_init (&d->board, mem_ctx);
   flt_init (&d->fleet, mem_ctx);
   ctr_init (&d->counters, descs, DSP_COUNTERS);
+  hst_init (&d->times, mem_ctx, times, DSP_TIMES);
   rc = per_init (&d->peers, mem_ctx, ev, settings->advertise, d->incarnation,
                  &events);
   if (rc == 0)
@@ -247,6 +262,7 @@
 {
   brd_finish (&d->board);
   flt_finish (&d->fleet);
+  hst_finish (&d->times);
   gsl_rng_free (d->rng);
 }
 
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -16,6 +16,7 @@
 #include "lagoonvale/board.h"
 #include "lagoonvale/catalog.h"
 #include "lagoonvale/counter.h"
+#include "lagoonvale/histogram.h"
 #include "peers.h"
 #include "settings.h"
 
@@ -93,6 +94,17 @@
   DSP_COUNTERS
 };
 
+/** enum dsp_time - the dispatcher's histograms, described in dispatch.c */
+enum dsp_time
+{
+  DSP_TIME_JOB,
+  DSP_TIME_TASK,
+  DSP_TIME_ORDER,
+  DSP_TIME_STORE,
+  DSP_TIME_RECOVERY,
+  DSP_TIMES
+};
+
 struct dsp_waiter;
 
 /** struct dsp_dispatch - caller-owned */
@@ -119,6 +131,8 @@
   uint64_t until_ns;
   bool leaving;
   struct ctr_set counters;
+  struct hst_set times;
+  bool served; /* a job was complete since the start */
 };
 
 /** dsp_init() - listen for agents and peers. Return: 0 or an error number. */
--- a/src/dispatch_agents.c
+++ b/src/dispatch_agents.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <utlist.h>
 
+#include "lagoonvale/name.h"
 #include "logline.h"
 #include "wire.h"
 
@@ -52,6 +53,8 @@
   if (end->how == LVP_HOW_DONE)
     {
       ctr_add (&d->counters, DSP_TASKS_DONE, 1);
+      dsp_note_time (d, DSP_TIME_TASK, caller->queue,
+                     clk_since (clk_now (), task->placed_ns));
       dsp_verdict (d, job, brd_done (&d->board, task));
       return;
     }
@@ -131,7 +134,19 @@
       onc_close (conn, -EBADMSG, "join cannot be decoded");
       return;
     }
+  if (!nam_valid (lv_slice_of (join.name))
+      || !nam_valid (lv_slice_of (join.domain))
+      || !nam_valid (lv_slice_of (join.service)))
+    {
+      onc_close (conn, -EILSEQ, "a name in a join is not valid");
+      WIR_FREE (lvp_join, &join);
+      return;
+    }
   a = flt_join (&d->fleet, conn, &join, clk_boot ());
+  if (a->lost_ns != 0)
+    dsp_note_time (d, DSP_TIME_RECOVERY, "agent-lost-to-joined",
+                   clk_since (clk_boot (), a->lost_ns));
+  a->lost_ns = 0;
   log_line (LOGL_INFO, "agent-joined",
             "agent=%s incarnation=%llx runs=%u synced=%d accepting=%d "
             "total_mcores=%u free_mcores=%u",
@@ -165,8 +180,11 @@
              const lvp_report *report)
 {
   bool was_synced = a->synced;
+  uint64_t now = clk_boot ();
+  uint64_t sent_ns = flt_report (a, report, now);
 
-  flt_report (a, report, clk_boot ());
+  if (sent_ns != 0)
+    dsp_note_time (d, DSP_TIME_ORDER, a->domain, clk_since (now, sent_ns));
   if (!was_synced && a->synced)
     note_synced (d, a);
   if (d->board.queue != NULL)
--- a/src/dispatch_jobs.c
+++ b/src/dispatch_jobs.c
@@ -40,15 +40,29 @@
   return "-";
 }
 
+static const char *const outcomes[] = { [DSP_COMPLETE] = "complete",
+                                        [DSP_FAILED] = "failed",
+                                        [DSP_REFUSED] = "refused",
+                                        [DSP_GAVE_UP] = "gave-up" };
+
+static void
+note_end (struct dsp_dispatch *d, const char *queue, enum dsp_outcome outcome,
+          uint64_t age_ns)
+{
+  hst_observe (&d->times, DSP_TIME_JOB, lv_slice_of (queue),
+               lv_slice_of (outcomes[outcome]), age_ns);
+  if (d->served || outcome != DSP_COMPLETE)
+    return;
+  d->served = true;
+  dsp_note_time (d, DSP_TIME_RECOVERY, "start-to-first-job",
+                 clk_since (clk_boot (), d->started_ns));
+}
+
 /* Lines of jobs that were not complete in time are never left out.  */
 static void
 log_end (const struct brd_job *job, const char *queue,
          enum dsp_outcome outcome, const char *why, uint64_t now_ns)
 {
-  static const char *const names[] = { [DSP_COMPLETE] = "complete",
-                                       [DSP_FAILED] = "failed",
-                                       [DSP_REFUSED] = "refused",
-                                       [DSP_GAVE_UP] = "gave-up" };
   unsigned long long age_ms = clk_since (now_ns, job->arrived_ns) / CLK_MS;
   unsigned long long target_ms
       = clk_since (job->target_ns, job->arrived_ns) / CLK_MS;
@@ -62,7 +76,7 @@
     log_line (LOGL_INFO, "job-end",
               "job=%s queue=%s outcome=%s why=%s age_ms=%llu target_ms=%llu "
               "tasks=%u open=%u waiting=%u orders=%u stuck_at=%s",
-              job->id, queue, names[outcome], why, age_ms, target_ms,
+              job->id, queue, outcomes[outcome], why, age_ms, target_ms,
               job->count, job->open, job->waiting, job->orders,
               stuck_at (job));
 }
@@ -79,6 +93,7 @@
     answer.retry_ms = RETRY_MS;
   log_end (job, caller.queue, outcome, why, now);
   count_answer (d, &answer);
+  note_end (d, caller.queue, outcome, clk_since (now, job->arrived_ns));
   caller.answer (&answer, caller.priv);
   remove_job (d, job);
 }
@@ -118,6 +133,7 @@
             (int)job->id.len, job->id.data, job->queue->name, why,
             d->fleet.count);
   count_answer (d, &answer);
+  note_end (d, job->queue->name, DSP_REFUSED, 0);
   job->answer (&answer, job->priv);
 }
 
--- a/src/dispatch_parts.h
+++ b/src/dispatch_parts.h
@@ -40,6 +40,14 @@
   return d->config != NULL ? d->config->version : 0;
 }
 
+/** dsp_note_time() - add a time to a histogram with one label. */
+static inline void
+dsp_note_time (struct dsp_dispatch *d, enum dsp_time id, const char *label,
+               uint64_t ns)
+{
+  hst_observe (&d->times, id, lv_slice_of (label), lv_slice_of (""), ns);
+}
+
 /* dispatch_place.c */
 
 /** dsp_pump_soon() - place what waits in the next turn of the loop. */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -95,14 +95,15 @@
   return a;
 }
 
-void
+uint64_t
 flt_report (struct flt_agent *a, const lvp_report *report, uint64_t now_ns)
 {
+  uint64_t sent_ns = 0;
   unsigned i;
   uint32_t n;
 
   if (report->stamp_ms < a->stamp_ms)
-    return;
+    return 0;
   a->stamp_ms = report->stamp_ms;
   a->heard_ns = now_ns;
   a->synced = report->synced;
@@ -112,6 +113,7 @@
   while (a->pending_count > 0
          && a->pending[a->pending_first].order <= report->orders)
     {
+      sent_ns = a->pending[a->pending_first].sent_ns;
       a->pending_first = (a->pending_first + 1) % FLT_PENDING_MAX;
       a->pending_count--;
     }
@@ -123,6 +125,7 @@
       for (n = 0; n < p->count; n++)
         amt_take (&a->free, &p->need);
     }
+  return sent_ns;
 }
 
 void
@@ -130,6 +133,7 @@
 {
   a->conn = NULL;
   a->accepting = false;
+  a->lost_ns = clk_boot ();
   a->dead_by_ns = chn_dead_by (a->heard_ns);
 }
 
@@ -154,6 +158,7 @@
   if (a->pending_count == FLT_PENDING_MAX)
     return;
   a->pending[at].order = a->orders;
+  a->pending[at].sent_ns = clk_boot ();
   a->pending[at].need = *need;
   a->pending[at].count = count;
   a->pending_count++;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -24,6 +24,7 @@
 struct flt_pending
 {
   uint64_t order;
+  uint64_t sent_ns;
   struct amt_amount need;
   uint32_t count;
 };
@@ -33,6 +34,7 @@
  * @conn: NULL while it is lost
  * @stamp_ms: agent's clock, of its newest report
  * @heard_ns: when that arrived, by clk_boot()
+ * @lost_ns: when its connection was lost, 0 once it has joined again
  * @dead_by_ns: while it is lost: when its runs have ended
  * @orders: sent on this connection
  * @pending: ring of those not reported to have arrived
@@ -52,6 +54,7 @@
   struct amt_amount free;
   uint64_t stamp_ms;
   uint64_t heard_ns;
+  uint64_t lost_ns;
   uint64_t dead_by_ns;
   uint64_t orders;
   struct flt_pending pending[FLT_PENDING_MAX];
@@ -94,9 +97,14 @@
 struct flt_agent *flt_join (struct flt_fleet *f, struct onc_conn *conn,
                             const lvp_join *join, uint64_t now_ns);
 
-/** flt_report() - take what @agent reports. */
-void flt_report (struct flt_agent *agent, const lvp_report *report,
-                 uint64_t now_ns);
+/**
+ * flt_report() - take what @agent reports
+ *
+ * Return: when the newest order was sent that this report knows and none
+ * before it, or 0.
+ */
+uint64_t flt_report (struct flt_agent *agent, const lvp_report *report,
+                     uint64_t now_ns);
 
 /** flt_lost() - the connection of @agent is gone. */
 void flt_lost (struct flt_agent *agent);
--- a/src/jsonx.c
+++ b/src/jsonx.c
@@ -1,5 +1,7 @@
 #include "jsonx.h"
 
+#include "lagoonvale/name.h"
+
 struct json_object *
 jsx_parse_why (struct lv_slice text, const char **why, size_t *at)
 {
@@ -45,9 +47,41 @@
       || !json_object_object_get_ex (object, name, &value)
       || !json_object_is_type (value, json_type_string))
     return fallback;
+  /* A string that holds a NUL would be read as another, shorter one.  */
+  if (strlen (json_object_get_string (value))
+      != (size_t)json_object_get_string_len (value))
+    return fallback;
   return json_object_get_string (value);
 }
 
+bool
+jsx_is_name (struct json_object *value)
+{
+  struct lv_slice text;
+
+  if (!json_object_is_type (value, json_type_string))
+    return false;
+  text.data = json_object_get_string (value);
+  text.len = (size_t)json_object_get_string_len (value);
+  return nam_valid (text);
+}
+
+struct lv_slice
+jsx_text (struct json_object *object, const char *name)
+{
+  struct lv_slice text = { "", 0 };
+  struct json_object *value;
+
+  if (json_object_is_type (object, json_type_object)
+      && json_object_object_get_ex (object, name, &value)
+      && json_object_is_type (value, json_type_string))
+    {
+      text.data = json_object_get_string (value);
+      text.len = (size_t)json_object_get_string_len (value);
+    }
+  return text;
+}
+
 uint64_t
 jsx_uint (struct json_object *object, const char *name, uint64_t fallback)
 {
--- a/src/jsonx.h
+++ b/src/jsonx.h
@@ -25,7 +25,14 @@
 struct json_object *jsx_parse_why (struct lv_slice text, const char **why,
                                    size_t *at);
 
-/** jsx_string() - member @name if it is a string, else @fallback. */
+/** jsx_is_name() - whether @value is a string that may be a name. */
+bool jsx_is_name (struct json_object *value);
+
+/** jsx_text() - member @name if it is a string, else nothing; may hold NUL. */
+struct lv_slice jsx_text (struct json_object *object, const char *name);
+
+/** jsx_string() - member @name if it is a string without NUL, else
+ * @fallback. */
 const char *jsx_string (struct json_object *object, const char *name,
                         const char *fallback);
 
--- a/src/request.c
+++ b/src/request.c
@@ -116,8 +116,10 @@
     return true;
   if (!json_object_is_type (value, json_type_string)
       || json_object_get_string_len (value) == 0
-      || json_object_get_string_len (value) > REQ_NAME_MAX)
-    return bad (why, "key %s: expected %s", name, "a string of 1 to 63 bytes");
+      || json_object_get_string_len (value) > REQ_NAME_MAX
+      || !jsx_is_name (value))
+    return bad (why, "key %s: expected %s", name,
+                "1 to 63 bytes of UTF-8 without control characters");
   *out = talloc_strdup (r, json_object_get_string (value));
   return true;
 }
@@ -182,11 +184,13 @@
 
   if (json_object_object_get_ex (json, "key", &value))
     {
-      if (!json_object_is_type (value, json_type_string))
-        return bad (why, "key %s: expected %s", "key", "a string");
+      if (!json_object_is_type (value, json_type_string)
+          || !jsx_is_name (value))
+        return bad (why, "key %s: expected %s", "key",
+                    "1 to 100 bytes of UTF-8 without control characters");
       r->key = talloc_strdup (r, json_object_get_string (value));
     }
-  if (r->key != NULL && (r->key[0] == '\0' || strlen (r->key) > REQ_KEY_MAX))
+  if (r->key != NULL && strlen (r->key) > REQ_KEY_MAX)
     return bad (why, "key %s: expected %s", "key", "1 to 100 bytes");
   if (r->key != NULL && r->has_sid)
     return bad (why, "found both %s and a key, expected %s", "id", "one");
--- a/src/roster.c
+++ b/src/roster.c
@@ -11,6 +11,7 @@
 
 #include "jsonx.h"
 #include "net.h"
+#include "lagoonvale/name.h"
 
 void
 ros_init (struct ros_roster *r, void *mem_ctx)
@@ -222,9 +223,10 @@
   const char *name = jsx_string (record, "name", "");
   const char *domain = jsx_string (record, "domain", "");
 
-  if (net_parse (&address, jsx_string (record, "address", "")) != 0
-      || name[0] == '\0' || strlen (name) >= ROS_NAME_MAX
-      || strlen (domain) >= ROS_NAME_MAX)
+  if (!nam_valid (lv_slice_of (name))
+      || (domain[0] != '\0' && !nam_valid (lv_slice_of (domain)))
+      || net_parse (&address, jsx_string (record, "address", "")) != 0
+      || strlen (name) >= ROS_NAME_MAX || strlen (domain) >= ROS_NAME_MAX)
     return -EINVAL;
   if (strcmp (role, "agent") == 0)
     m->role = ROS_AGENT;
--- a/src/runner.c
+++ b/src/runner.c
@@ -32,6 +32,20 @@
   { "lagoonvale_free_mcores", "room for further runs", true },
 };
 
+static const struct hst_desc times[] = {
+  { "lagoonvale_run_seconds", "from an order to the end of its run", "how",
+    NULL },
+  { "lagoonvale_minion_call_seconds", "calls of the minion", "call",
+    "outcome" },
+  { "lagoonvale_report_seconds", "from a report to its confirmation", "kind",
+    NULL },
+  { "lagoonvale_store_seconds", "calls of the store", "call", "outcome" },
+  { "lagoonvale_recovery_seconds",
+    "from a start to the first entry joined, from an entry's loss to its "
+    "return, from the minion's silence to its next answer",
+    "what", NULL },
+};
+
 /* The minion has answered a look, or did not.  */
 static void
 looked (struct rnr_runner *r)
@@ -86,7 +100,9 @@
   r->minion.lease_end_ns
       = chn_lease_end (clk_boot (), settings->lease_max_ms * CLK_MS);
   rnb_init (&r->book, mem_ctx, &events);
+  r->started_ns = clk_boot ();
   ctr_init (&r->counters, descs, RNR_COUNTERS);
+  hst_init (&r->times, mem_ctx, times, RNR_TIMES);
   rnr_seeds (r, &settings->seeds);
   tick (r);
   return tck_start (mem_ctx, ev, TICK_MS, tick, r);
@@ -96,6 +112,7 @@
 rnr_finish (struct rnr_runner *r)
 {
   rnb_finish (&r->book);
+  hst_finish (&r->times);
 }
 
 bool
--- a/src/runner.h
+++ b/src/runner.h
@@ -12,6 +12,7 @@
 
 #include "lagoonvale/chain.h"
 #include "lagoonvale/counter.h"
+#include "lagoonvale/histogram.h"
 #include "lagoonvale/minion.h"
 #include "lagoonvale/runbook.h"
 #include "lvproto.h"
@@ -50,6 +51,17 @@
   RNR_COUNTERS
 };
 
+/** enum rnr_time - the runner's histograms, described in runner.c */
+enum rnr_time
+{
+  RNR_TIME_RUN,
+  RNR_TIME_MINION,
+  RNR_TIME_REPORT,
+  RNR_TIME_STORE,
+  RNR_TIME_RECOVERY,
+  RNR_TIMES
+};
+
 struct rnr_session;
 struct rnr_end;
 
@@ -88,7 +100,9 @@
   struct rnr_end *ends;
   bool leaving;
   uint64_t leaving_ns;
+  uint64_t started_ns; /* 0 once an entry was joined */
   struct ctr_set counters;
+  struct hst_set times;
 };
 
 /** rnr_init() - begin to look for entries and at the minion. */
--- a/src/runner_entries.c
+++ b/src/runner_entries.c
@@ -116,6 +116,9 @@
   (void)conn;
   if (err == 0 && WIR_DECODE (lvp_report_res, res, &out))
     {
+      rnr_note_time (s->runner, RNR_TIME_REPORT,
+                     confirm->with_ends ? "ends" : "report",
+                     clk_since (clk_boot (), confirm->sent_ns));
       if (confirm->sent_ns > s->confirmed_ns)
         s->confirmed_ns = confirm->sent_ns;
       s->hungry = out.hungry;
@@ -320,6 +323,7 @@
   if (s->joined)
     {
       ctr_add (&s->runner->counters, RNR_SESSIONS_LOST, 1);
+      s->lost_ns = clk_boot ();
       log_line (LOGL_INFO, "entry-lost", "entry=%s code=%d why=\"%s\"",
                 s->text, err->code, err->detail);
     }
@@ -328,6 +332,22 @@
   unsend_ends (s);
 }
 
+static void
+note_joined (struct rnr_session *s)
+{
+  struct rnr_runner *r = s->runner;
+  uint64_t now = clk_boot ();
+
+  if (s->lost_ns != 0)
+    rnr_note_time (r, RNR_TIME_RECOVERY, "entry-lost-to-joined",
+                   clk_since (now, s->lost_ns));
+  else if (r->started_ns != 0)
+    rnr_note_time (r, RNR_TIME_RECOVERY, "start-to-first-entry",
+                   clk_since (now, r->started_ns));
+  s->lost_ns = 0;
+  r->started_ns = 0;
+}
+
 static void
 joined (struct onc_conn *conn, int err, XDR *res, void *priv)
 {
@@ -346,6 +366,7 @@
     }
   if (s->entry != 0 && s->entry != out.incarnation)
     rnb_stop_owner (&s->runner->book, s->entry, clk_boot ());
+  note_joined (s);
   s->entry = out.incarnation;
   s->joined = true;
   s->confirmed_ns = sent_ns;
--- a/src/runner_minion.c
+++ b/src/runner_minion.c
@@ -38,9 +38,25 @@
   return lease;
 }
 
+static const char *
+answer_name (enum mnn_answer answer)
+{
+  static const char *const names[]
+      = { [MNN_OK] = "ok",         [MNN_FENCED] = "fenced",
+          [MNN_OLD] = "old",       [MNN_REFUSED] = "refused",
+          [MNN_ABSENT] = "absent", [MNN_UNANSWERED] = "unanswered" };
+
+  return (unsigned)answer < sizeof names / sizeof names[0] ? names[answer]
+                                                           : "?";
+}
+
 static void
-note_result (struct rnr_runner *r, const struct mnn_result *result)
+note_result (struct rnr_runner *r, const struct mnn_result *result,
+             const char *call, uint64_t sent_ns)
 {
+  hst_observe (&r->times, RNR_TIME_MINION, lv_slice_of (call),
+               lv_slice_of (answer_name (result->answer)),
+               clk_since (clk_boot (), sent_ns));
   if (result->clock_ms != 0)
     {
       r->minion.clock_ms = result->clock_ms;
@@ -62,6 +78,7 @@
   struct rnr_runner *runner;
   char name[RNB_NAME_MAX];
   uint32_t attempt;
+  uint64_t sent_ns;
 };
 
 /* The run that an answer is about, unless it has ended meanwhile.  */
@@ -82,6 +99,7 @@
   start->runner = r;
   memcpy (start->name, run->name, sizeof start->name);
   start->attempt = run->attempt;
+  start->sent_ns = clk_boot ();
   return start;
 }
 
@@ -91,7 +109,7 @@
   struct start *start = arg;
   struct rnb_run *run = run_of (start);
 
-  note_result (start->runner, result);
+  note_result (start->runner, result, "stop", start->sent_ns);
   if (run != NULL && result->answer == MNN_OK)
     rnb_barred (&start->runner->book, run, clk_boot ());
   talloc_free (start);
@@ -112,7 +130,7 @@
   struct rnr_runner *r = start->runner;
   struct rnb_run *run = run_of (start);
 
-  note_result (r, result);
+  note_result (r, result, "start", start->sent_ns);
   talloc_free (start);
   if (run == NULL || run->state != RNB_STARTING)
     return;
@@ -181,6 +199,7 @@
   uint64_t ran_ns = clk_since (clk_boot (), run->ordered_ns);
 
   count_end (r, how);
+  rnr_note_time (r, RNR_TIME_RUN, names[how], ran_ns);
   log_often (LOGL_INFO, "run-end",
              "task=%s attempt=%u how=%s ran_ms=%llu percent=%u", run->name,
              run->attempt, names[how], (unsigned long long)(ran_ns / CLK_MS),
@@ -244,6 +263,9 @@
                     now);
   if (view->ends_through > m->ends_through)
     m->ends_through = view->ends_through;
+  if (m->seen_ns != 0 && clk_since (now, m->seen_ns) > RNR_SEEN_NS)
+    rnr_note_time (r, RNR_TIME_RECOVERY, "minion-silent-to-seen",
+                   clk_since (now, m->seen_ns));
   m->seen_ns = now;
   m->known = true;
   r->token_step = RNR_TOKEN_STEP;
@@ -267,7 +289,7 @@
   struct rnr_runner *r = arg;
 
   r->minion.looking = false;
-  note_result (r, &view->result);
+  note_result (r, &view->result, "look", r->minion.looked_ns);
   log_line (LOGL_DEBUG, "look", "answer=%d took_ms=%llu ends=%u running=%u",
             view->result.answer,
             (unsigned long long)(clk_since (clk_boot (), r->minion.looked_ns)
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -40,6 +40,7 @@
   uint64_t dialed_ns;
   uint64_t named_ns;
   uint64_t orders;
+  uint64_t lost_ns; /* when it was lost, 0 while joined or never joined */
   unsigned ends_under_way;
   struct rnr_session *prev;
   struct rnr_session *next;
@@ -56,6 +57,14 @@
   struct rnr_end *next;
 };
 
+/** rnr_note_time() - add a time to a histogram with one label. */
+static inline void
+rnr_note_time (struct rnr_runner *r, enum rnr_time id, const char *label,
+               uint64_t ns)
+{
+  hst_observe (&r->times, id, lv_slice_of (label), lv_slice_of (""), ns);
+}
+
 /* runner_entries.c */
 
 /** rnr_tell_entries() - ends to whom they concern, room to those who wait for
--- a/src/settings.c
+++ b/src/settings.c
@@ -11,13 +11,15 @@
 #include <talloc.h>
 
 #include "net.h"
+#include "jsonx.h"
 
 /** Largest settings file, in bytes. */
 #define FILE_MAX_BYTES 65536
 
 static const char *const type_names[]
-    = { "a string", "a whole number", "an address IP:PORT",
-        "an array of strings" };
+    = { "a string without control characters", "a whole number",
+        "an address IP:PORT",
+        "an array of strings without control characters" };
 
 static struct json_object *
 find (struct json_object *root, const char *name)
@@ -64,6 +66,8 @@
       struct json_object *item = json_object_array_get_idx (value, i);
       if (!json_object_is_type (item, json_type_string))
         return -EINVAL;
+      if (!jsx_is_name (item))
+        return -EILSEQ;
       out->item[i] = talloc_strdup (mem_ctx, json_object_get_string (item));
     }
   out->count = (unsigned)n;
@@ -72,10 +76,13 @@
 
 static int
 store_text (void *mem_ctx, const struct set_key *key, char *field,
-            const char *text)
+            struct json_object *value)
 {
+  const char *text = json_object_get_string (value);
   struct sockaddr_in address;
 
+  if (json_object_get_string_len (value) > 0 && !jsx_is_name (value))
+    return -EILSEQ;
   if (key->type == SET_ADDRESS && net_parse (&address, text) != 0)
     return -EINVAL;
   *(char **)field = talloc_strdup (mem_ctx, text);
@@ -95,7 +102,7 @@
     case SET_ADDRESS:
       if (!json_object_is_type (value, json_type_string))
         return -EINVAL;
-      return store_text (mem_ctx, key, field, json_object_get_string (value));
+      return store_text (mem_ctx, key, field, value);
     case SET_UINT:
       if (!json_object_is_type (value, json_type_int))
         return -EINVAL;
--- a/src/webstat.c
+++ b/src/webstat.c
@@ -75,6 +75,7 @@
 void
 wst_handle (struct web_request *r, const struct web_call *call, void *priv)
 {
+  const struct wst_metrics *m = priv;
   char *text;
 
   if (strcmp (call->path, "/metrics") != 0)
@@ -83,7 +84,7 @@
                   lv_slice_of ("not found\n"), 0);
       return;
     }
-  text = ctr_text (NULL, priv);
+  text = hst_append (ctr_text (NULL, m->counters), m->times);
   web_answer (r, MHD_HTTP_OK, "text/plain; version=0.0.4", lv_slice_of (text),
               0);
   talloc_free (text);
--- a/src/webstat.h
+++ b/src/webstat.h
@@ -11,6 +11,7 @@
 #include <stdbool.h>
 
 #include "lagoonvale/counter.h"
+#include "lagoonvale/histogram.h"
 #include "web.h"
 
 struct MHD_Daemon;
@@ -34,7 +35,14 @@
 /** wst_finish() - stop serving. */
 void wst_finish (struct wst_server *s);
 
-/** wst_handle() - GET /metrics on a web server; @priv is a struct ctr_set. */
+/** struct wst_metrics - what wst_handle() shows; borrowed */
+struct wst_metrics
+{
+  const struct ctr_set *counters;
+  const struct hst_set *times;
+};
+
+/** wst_handle() - GET /metrics on a web server; @priv is a wst_metrics. */
 void wst_handle (struct web_request *r, const struct web_call *call,
                  void *priv);
 
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -72,6 +72,42 @@
         self.assertEqual(c.submit(0, good, prefix="/none/")[0], 404)
         self.assertEqual(c.submit(0, good)[0], 200)
 
+    def test_a_refused_request_is_found_in_the_log_by_its_id(self):
+        c = self.ready(entries=1)
+        for name, prefix, body, status in (
+                ("e" * 16, "/rush/", b"{", 400),
+                ("d" * 16, "/nowhere/", job(), 404),
+                ("c" * 16, "/rush/", job(repeats=3), 503),
+                ("b" * 16, "/rush/", job(mcores=10 ** 7), 503)):
+            with self.subTest(name=name):
+                # What no agent can hold is known a while after the start.
+                self.assertTrue(wait_until(lambda: c.submit(
+                    0, body, name, prefix, wait_ms=400)[0] == status))
+                self.assertTrue(wait_until(lambda: [
+                    line for line in c.log_of(c.entries[0]).splitlines()
+                    if name in line and "refused" in line
+                    and "why=" in line], 2))
+
+    def test_times_are_on_the_metrics_page(self):
+        c = self.ready(entries=1, agents=1)
+        _, entry = http("GET", c.metrics_url(c.entries[0]))
+        _, agent = http("GET", c.agents[0].probe)
+        for page, series in (
+                (entry, 'job_seconds_count{queue="rush",outcome="complete"}'),
+                (entry, 'task_seconds_count{queue="rush"}'),
+                (entry, 'order_seconds_count{domain="d0"}'),
+                (entry, 'store_seconds_count{call="newest",outcome="ok"}'),
+                (entry, 'recovery_seconds_count{what="start-to-first-job"}'),
+                (agent, 'run_seconds_count{how="done"}'),
+                (agent, 'minion_call_seconds_count{call="start",outcome="ok"}'),
+                (agent, 'report_seconds_count{kind="report"}'),
+                (agent, 'recovery_seconds_count{what="start-to-first-entry"}')):
+            with self.subTest(series=series):
+                found = [line for line in page.splitlines()
+                         if line.startswith("lagoonvale_" + series)]
+                self.assertEqual(len(found), 1)
+                self.assertGreaterEqual(float(found[0].split()[-1]), 1)
+
     def test_what_no_agent_can_hold_is_refused_at_once(self):
         c = self.ready()
         time.sleep(1.5)
@@ -138,6 +174,10 @@
                json.dumps({"version": 99, "routes": 3}).encode(),
                json.dumps({"version": 99, "routes": [{}]}).encode(),
                json.dumps({"version": "x", "routes": []}).encode()]
+        bad += [json.dumps({"version": 99, "routes": [
+            dict(queue("rush", "/rush/"), **{key: value})]}).encode()
+            for key in ("name", "host", "path_prefix", "service")
+            for value in ("a\nb", "a\x00", "\u2029", "", 7, None)]
         for body in bad:
             http("POST", "http://%s/test/put?key=config" % c.store.address,
                  body)
