lagoonvale explain tells a request's story; late and failed jobs keep their steps

Cause: lines that load brings about are capped, so the steps of the one job that a user complains of may be the ones left out; a task that waits anew because its agent's lease lapsed got no line at all; placements were logged at debug only. - trail (pure): the first and newest steps of each open job, written as job-steps when it ends late, badly or without its caller; - brd_overdue() in place of brd_tick(): such a task is logged like the others; - place is an info line, capped like the others; - story (pure) and 'lagoonvale explain ID LOG...': the lines that name a request, what happened meanwhile to the instances involved, clocks that differ shifted, and what missing lines mean.

--- a/cli/cli.h
+++ b/cli/cli.h
@@ -56,6 +56,7 @@
 int cli_status (struct cli_context *cli, int argc, char **argv);
 int cli_settings (struct cli_context *cli, int argc, char **argv);
 int cli_submit (struct cli_context *cli, int argc, char **argv);
+int cli_explain (struct cli_context *cli, int argc, char **argv);
 int cli_cancel (struct cli_context *cli, int argc, char **argv);
 
 #endif
--- /dev/null
+++ b/cli/cli_explain.c
@@ -0,0 +1,67 @@
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "cli.h"
+#include "daemon.h"
+#include "lagoonvale/story.h"
+
+#define LOGS_MAX 4096
+
+/* Read the lines of one log into STORY.  Return: whether it could be read.  */
+static bool
+read_log (struct sty_story *story, const char *path)
+{
+  FILE *file = strcmp (path, "-") == 0 ? stdin : fopen (path, "re");
+  char *line = NULL;
+  size_t size = 0;
+  ssize_t len;
+
+  if (file == NULL)
+    {
+      fprintf (stderr, "error: %s: cannot open\n", path);
+      return false;
+    }
+  while ((len = getline (&line, &size, file)) > 0)
+    {
+      struct lv_slice text = { line, (size_t)len - (line[len - 1] == '\n') };
+
+      sty_add (story, text);
+    }
+  free (line);
+  if (file != stdin)
+    fclose (file);
+  return true;
+}
+
+int
+cli_explain (struct cli_context *cli, int argc, char **argv)
+{
+  struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
+  struct arg_str *id = arg_str1 (NULL, NULL, "ID", "id of a request");
+  struct arg_file *logs = arg_filen (NULL, NULL, "LOG", 1, LOGS_MAX,
+                                     "logs of the processes, - for input");
+  struct arg_end *end = arg_end (8);
+  void *table[] = { help, id, logs, end };
+  struct sty_story story;
+  int rc = cli_parse (argc, argv, table, 4, "explain");
+
+  if (rc >= 0)
+    return rc;
+  sty_init (&story, cli->ev, lv_slice_of (id->sval[0]));
+  rc = DMN_OK;
+  for (int i = 0; i < logs->count; i++)
+    if (!read_log (&story, logs->filename[i]))
+      rc = DMN_USAGE;
+  if (rc == DMN_OK && story.named == 0)
+    {
+      fprintf (stderr, "error: no line names %s\n", id->sval[0]);
+      rc = DMN_FAILED;
+    }
+  if (rc == DMN_OK)
+    fputs (sty_tell (&story), stdout);
+  sty_finish (&story);
+  return rc;
+}
--- a/cli/main.c
+++ b/cli/main.c
@@ -145,6 +145,7 @@
   { "status", cli_status, "what an entry knows of the fleet" },
   { "settings", cli_settings, "check a settings file" },
   { "submit", cli_submit, "submit a job and print its answer" },
+  { "explain", cli_explain, "a request's story from the logs" },
   { "cancel", cli_cancel, "cancel a submission" },
 };
 
--- a/include/lagoonvale/board.h
+++ b/include/lagoonvale/board.h
@@ -189,7 +189,8 @@
 /** brd_doubt() - all placed at @host may run until @until_ns. */
 void brd_doubt (struct brd_board *b, const void *host, uint64_t until_ns);
 
-/** brd_tick() - doubtful tasks whose time is over wait again. */
-void brd_tick (struct brd_board *b, uint64_t now_ns);
+/** brd_overdue() - a doubtful task whose time is over, to be given to
+ * brd_again(); NULL if there is none. */
+struct brd_task *brd_overdue (const struct brd_board *b, uint64_t now_ns);
 
 #endif
--- a/src/board.c
+++ b/src/board.c
@@ -225,15 +225,13 @@
       }
 }
 
-void
-brd_tick (struct brd_board *b, uint64_t now_ns)
+struct brd_task *
+brd_overdue (const struct brd_board *b, uint64_t now_ns)
 {
   struct brd_task *task;
-  struct brd_task *next;
 
-  HASH_ITER (hh, b->runs, task, next)
-  {
+  for (task = b->runs; task != NULL; task = task->hh.next)
     if (task->state == BRD_DOUBTFUL && now_ns >= task->until_ns)
-      brd_again (b, task, false);
-  }
+      return task;
+  return NULL;
 }
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -182,7 +182,7 @@
   call_waiters (d);
   per_tick (&d->peers, now);
   dsp_give_up_late (d, clk_now ());
-  brd_tick (&d->board, now);
+  dsp_release_lapsed (d, now);
   flt_expire (&d->fleet, now);
   if (d->board.queue != NULL)
     dsp_pump_soon (d);
--- a/src/dispatch_agents.c
+++ b/src/dispatch_agents.c
@@ -1,6 +1,7 @@
 #include "dispatch_parts.h"
 
 #include <errno.h>
+#include <stdio.h>
 #include <utlist.h>
 
 #include "lagoonvale/name.h"
@@ -36,6 +37,24 @@
   return (unsigned)how < sizeof names / sizeof names[0] ? names[how] : "?";
 }
 
+void
+dsp_note_step (const struct brd_task *task, uint32_t count, const char *what)
+{
+  struct dsp_caller *caller = task->job->priv;
+  struct trl_step step = {
+    .what = what,
+    .at_ms
+    = (uint32_t)(clk_since (clk_now (), task->job->arrived_ns) / CLK_MS),
+    .task = task->index,
+    .count = count,
+    .attempt = task->attempt,
+  };
+
+  snprintf (step.where, sizeof step.where, "%.*s", TRL_WHERE_MAX - 1,
+            dsp_agent_of (task)->name);
+  trl_add (&caller->trail, caller, &step);
+}
+
 static void
 end_run (struct dsp_dispatch *d, struct flt_agent *a, const lvp_end *end)
 {
@@ -64,6 +83,7 @@
              "job=%s task=%u attempt=%u agent=%s how=%s ran_ms=%u", job->id,
              task->index, task->attempt, a->name, how_name (end->how),
              end->ran_ms);
+  dsp_note_step (task, 1, how_name (end->how));
   if (never_started (end->how))
     job->orders--;
   dsp_verdict (d, job,
@@ -74,12 +94,23 @@
 static void
 release_run (struct dsp_dispatch *d, struct brd_task *task, const char *why)
 {
-  log_line (LOGL_INFO, "task-again", "job=%s task=%u attempt=%u why=%s",
-            task->job->id, task->index, task->attempt, why);
+  log_often (LOGL_INFO, "task-again",
+             "job=%s task=%u attempt=%u agent=%s why=%s", task->job->id,
+             task->index, task->attempt, dsp_agent_of (task)->name, why);
+  dsp_note_step (task, 1, why);
   ctr_add (&d->counters, DSP_TASKS_AGAIN, 1);
   brd_again (&d->board, task, false);
 }
 
+void
+dsp_release_lapsed (struct dsp_dispatch *d, uint64_t now_ns)
+{
+  struct brd_task *task;
+
+  while ((task = brd_overdue (&d->board, now_ns)) != NULL)
+    release_run (d, task, "lease-lapsed");
+}
+
 static bool
 holds (const lvp_join *join, uint64_t run)
 {
--- a/src/dispatch_jobs.c
+++ b/src/dispatch_jobs.c
@@ -58,6 +58,17 @@
                  clk_since (clk_boot (), d->started_ns));
 }
 
+static void
+log_steps (const struct brd_job *job)
+{
+  const struct dsp_caller *caller = job->priv;
+  char *steps = trl_text (NULL, &caller->trail);
+
+  log_line (LOGL_INFO, "job-steps", "job=%s count=%u steps=\"%s\"", job->id,
+            caller->trail.count, steps);
+  talloc_free (steps);
+}
+
 /* Lines of jobs that were not complete in time are never left out.  */
 static void
 log_end (const struct brd_job *job, const char *queue,
@@ -73,12 +84,15 @@
                "tasks=%u orders=%u",
                job->id, queue, age_ms, target_ms, job->count, job->orders);
   else
-    log_line (LOGL_INFO, "job-end",
-              "job=%s queue=%s outcome=%s why=%s age_ms=%llu target_ms=%llu "
-              "tasks=%u open=%u waiting=%u orders=%u stuck_at=%s",
-              job->id, queue, outcomes[outcome], why, age_ms, target_ms,
-              job->count, job->open, job->waiting, job->orders,
-              stuck_at (job));
+    {
+      log_line (LOGL_INFO, "job-end",
+                "job=%s queue=%s outcome=%s why=%s age_ms=%llu target_ms=%llu "
+                "tasks=%u open=%u waiting=%u orders=%u stuck_at=%s",
+                job->id, queue, outcomes[outcome], why, age_ms, target_ms,
+                job->count, job->open, job->waiting, job->orders,
+                stuck_at (job));
+      log_steps (job);
+    }
 }
 
 static void
@@ -251,6 +265,7 @@
     return false;
   log_line (LOGL_INFO, "job-withdrawn", "job=%s why=%s open=%u orders=%u",
             job->id, why, job->open, job->orders);
+  log_steps (job);
   ctr_add (&d->counters, DSP_JOBS_WITHDRAWN, 1);
   remove_job (d, job);
   return true;
--- a/src/dispatch_parts.h
+++ b/src/dispatch_parts.h
@@ -13,6 +13,7 @@
 
 #include "clock.h"
 #include "dispatch.h"
+#include "lagoonvale/trail.h"
 
 /** Time after the start in which agents may be missing still, ns: they are
  * there sooner than the balancer's next health check. */
@@ -21,6 +22,7 @@
 /** struct dsp_caller - what the board keeps for the owner of a job */
 struct dsp_caller
 {
+  struct trl_trail trail;
   void (*answer) (const struct dsp_answer *answer, void *priv);
   void *priv;
   char *queue;
@@ -40,6 +42,10 @@
   return d->config != NULL ? d->config->version : 0;
 }
 
+/** dsp_note_step() - a step taken for @task and the @count - 1 after it. */
+void dsp_note_step (const struct brd_task *task, uint32_t count,
+                    const char *what);
+
 /** dsp_note_time() - add a time to a histogram with one label. */
 static inline void
 dsp_note_time (struct dsp_dispatch *d, enum dsp_time id, const char *label,
@@ -67,6 +73,9 @@
 
 /* dispatch_agents.c */
 
+/** dsp_release_lapsed() - place anew what has surely ended at lost agents. */
+void dsp_release_lapsed (struct dsp_dispatch *d, uint64_t now_ns);
+
 void dsp_on_join (struct dsp_dispatch *d, struct onc_conn *conn, uint32_t xid,
                   XDR *args);
 void dsp_on_report (struct dsp_dispatch *d, struct onc_conn *conn,
--- a/src/dispatch_place.c
+++ b/src/dispatch_place.c
@@ -88,11 +88,12 @@
 
   flt_ordered (a, &job->need, count);
   ctr_add (&d->counters, DSP_ORDERS, count);
-  log_line (
-      LOGL_DEBUG, "place",
+  log_often (
+      LOGL_INFO, "place",
       "job=%s agent=%s tasks=%u first=%u free_mcores=%u report_ms=%llu",
       job->id, a->name, count, runs[0].index, a->free.mcores,
       (unsigned long long)(clk_since (clk_boot (), a->heard_ns) / CLK_MS));
+  dsp_note_step (&job->tasks[runs[0].index], count, "order");
   onc_call (a->conn, LVP_ORDER, (xdrproc_t)xdr_lvp_order, &order, NULL, NULL);
 }
 
--- a/tests/unit/dispatch_test.cc
+++ b/tests/unit/dispatch_test.cc
@@ -375,10 +375,12 @@
   struct brd_job *job = add ("a");
   brd_place (&board, &job->tasks[0], this, 1);
   brd_doubt (&board, this, 500);
-  brd_tick (&board, 499);
+  EXPECT_EQ (brd_overdue (&board, 499), nullptr);
   EXPECT_EQ (job->waiting, 0u);
-  brd_tick (&board, 500);
+  ASSERT_EQ (brd_overdue (&board, 500), &job->tasks[0]);
+  brd_again (&board, &job->tasks[0], false);
   EXPECT_EQ (job->waiting, 1u);
+  EXPECT_EQ (brd_overdue (&board, 500), nullptr);
 }
 
 TEST_F (Board, AnEndOfAFormerRunIsNotKnown)
