Large tasks are not passed by small ones; who will not begin in time is refused

Cause 2: late jobs that had not begun were held up to three times their target although their work itself would have taken longer than what was left, and in lasting overload although none of those behind was served at all (drain, pure).

--- a/include/lagoonvale/board.h
+++ b/include/lagoonvale/board.h
@@ -166,6 +166,13 @@
 /** brd_useless() - whether an answer would come too late to be of use. */
 bool brd_useless (const struct brd_job *job, uint64_t now_ns);
 
+/**
+ * brd_start_until() - the latest start whose answer is of use
+ *
+ * A job that has not begun by then is better refused.
+ */
+uint64_t brd_start_until (const struct brd_job *job);
+
 /** brd_sort() - put jobs that became late behind those that are not. */
 void brd_sort (struct brd_board *b, uint64_t now_ns);
 
--- a/include/lagoonvale/spot.h
+++ b/include/lagoonvale/spot.h
@@ -42,6 +42,11 @@
 int spt_choose (const struct spt_host *hosts, unsigned count,
                 const struct amt_amount *need, int avoid, double spread);
 
+/** spt_awaits() - whether any usable host could hold @need when empty: its
+ * room is worth waiting for. */
+bool spt_awaits (const struct spt_host *hosts, unsigned count,
+                 const struct amt_amount *need);
+
 /** spt_possible() - whether any host of the service could hold @need when
  * empty. */
 bool spt_possible (const struct spt_host *hosts, unsigned count,
--- a/src/board.c
+++ b/src/board.c
@@ -136,12 +136,29 @@
   talloc_free (job);
 }
 
+/* When nobody waits for the answer any more.  */
+static uint64_t
+useful_until (const struct brd_job *job)
+{
+  uint64_t allowed_ns = clk_since (job->target_ns, job->arrived_ns);
+
+  return job->arrived_ns + BRD_LATE_FACTOR * allowed_ns;
+}
+
 bool
 brd_useless (const struct brd_job *job, uint64_t now_ns)
 {
-  uint64_t allowed_ns = clk_since (job->target_ns, job->arrived_ns);
+  return useful_until (job) < now_ns;
+}
+
+uint64_t
+brd_start_until (const struct brd_job *job)
+{
+  uint64_t until_ns = useful_until (job);
 
-  return job->arrived_ns + BRD_LATE_FACTOR * allowed_ns < now_ns;
+  if (until_ns > job->deadline_ns)
+    until_ns = job->deadline_ns;
+  return clk_since (until_ns, job->estimate_ms * CLK_MS);
 }
 
 /* A late job keeps its place only if what is left of it is less than what its
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -16,6 +16,7 @@
 #include "lagoonvale/board.h"
 #include "lagoonvale/catalog.h"
 #include "lagoonvale/counter.h"
+#include "lagoonvale/drain.h"
 #include "lagoonvale/histogram.h"
 #include "peers.h"
 #include "settings.h"
@@ -88,6 +89,7 @@
   DSP_TASKS_AGAIN,
   DSP_NO_ROOM,
   DSP_AGENTS,
+  DSP_AGENTS_JOINED,
   DSP_OPEN_JOBS,
   DSP_WAITING_MCORE_MS,
   DSP_CONFIG_VERSION,
@@ -116,6 +118,7 @@
   uint64_t incarnation;
   gsl_rng *rng;
   struct brd_board board;
+  struct drn_drain behind; /* late jobs that have not begun */
   struct flt_fleet fleet;
   struct per_peers peers;
   struct cat_config *config;
--- a/src/dispatch_jobs.c
+++ b/src/dispatch_jobs.c
@@ -1,6 +1,7 @@
 #include "dispatch_parts.h"
 
 #include <talloc.h>
+#include <utlist.h>
 
 #include "logline.h"
 
@@ -121,6 +122,29 @@
     answer_job (d, job, DSP_FAILED, "attempts");
 }
 
+/* Refuse what has not begun, is late, and will not begin while its answer is
+   of use: such jobs wait behind all others, in the order of the queue.  */
+static void
+refuse_hopeless (struct dsp_dispatch *d, uint64_t now_ns)
+{
+  struct brd_job *job;
+  struct brd_job *next;
+  unsigned ahead = 0;
+
+  DL_FOREACH_SAFE (d->board.queue, job, next)
+  {
+    uint64_t until_ns = brd_start_until (job);
+    uint64_t wait_ns;
+
+    if (!job->late || job->orders > 0)
+      continue;
+    wait_ns = drn_wait_ns (&d->behind, ahead++, now_ns);
+    if (now_ns >= until_ns || wait_ns > until_ns - now_ns)
+      answer_job (d, job, DSP_REFUSED, "overload");
+  }
+  drn_waiting (&d->behind, ahead > 0, now_ns);
+}
+
 /* Jobs whose caller has stopped waiting, or whom no answer helps any more.  */
 void
 dsp_give_up_late (struct dsp_dispatch *d, uint64_t now_ns)
@@ -133,9 +157,8 @@
     if (now_ns >= job->deadline_ns)
       answer_job (d, job, job->orders > 0 ? DSP_GAVE_UP : DSP_REFUSED,
                   "deadline");
-    else if (job->orders == 0 && brd_useless (job, now_ns))
-      answer_job (d, job, DSP_REFUSED, "overload");
   }
+  refuse_hopeless (d, now_ns);
 }
 
 static void
--- a/src/dispatch_place.c
+++ b/src/dispatch_place.c
@@ -9,8 +9,8 @@
 
 /* Least time between two calls that tell agents of waiting work, ns.  */
 #define HUNGRY_GAP_NS (20 * CLK_MS)
-/* Jobs at the head of the queue that are tried when the first does not fit. */
-#define TRY_JOBS 12
+/* Services whose waiting jobs are told apart in one turn.  */
+#define SERVICES_MAX 32
 
 /* Stop what still runs of JOB, wherever an agent can be told.  */
 void
@@ -136,6 +136,7 @@
   uint64_t first_run = d->board.next_run;
   uint64_t now = clk_now ();
   uint32_t waiting = job->waiting;
+  bool was_behind = job->late && job->orders == 0;
   uint32_t i;
 
   for (i = 0; i < job->count && waiting > 0; i++)
@@ -156,6 +157,8 @@
       d->hosts[at] = flt_host (d->host_agents[at], lv_slice_of (job->service),
                                d->set.domain, clk_boot ());
     }
+  if (was_behind && job->orders > 0)
+    drn_served (&d->behind, now);
   if (d->board.next_run > first_run)
     send_orders (d, job, first_run, n);
   return waiting == 0;
@@ -177,23 +180,48 @@
               NULL);
 }
 
+/* Services that have no room for the first of their waiting jobs.  */
+struct full
+{
+  const char *service[SERVICES_MAX];
+  unsigned count;
+};
+
+static bool
+is_full (const struct full *full, const char *service)
+{
+  unsigned i;
+
+  for (i = 0; i < full->count; i++)
+    if (strcmp (full->service[i], service) == 0)
+      return true;
+  return false;
+}
+
+/* Place what waits.  Nothing passes the first job of its service that does not
+   fit: small tasks would fill each gap, and large ones would never start.  */
 static void
 pump (struct dsp_dispatch *d)
 {
+  struct full full = { .count = 0 };
   const char *service = "";
   struct brd_job *job;
   struct brd_job *next;
-  unsigned tried = 0;
   unsigned hosts = 0;
 
   brd_sort (&d->board, clk_now ());
   DL_FOREACH_SAFE (d->board.queue, job, next)
   {
+    if (is_full (&full, job->service))
+      continue;
     if (strcmp (service, job->service) != 0)
       hosts = dsp_list_hosts (d, lv_slice_of (job->service));
     service = job->service;
-    if (!place_job (d, job, hosts) && ++tried >= TRY_JOBS)
+    if (place_job (d, job, hosts) || !spt_awaits (d->hosts, hosts, &job->need))
+      continue;
+    if (full.count == SERVICES_MAX)
       break;
+    full.service[full.count++] = job->service;
   }
   if (d->board.queue != NULL)
     tell_hungry (d);
--- a/src/spot.c
+++ b/src/spot.c
@@ -54,6 +54,18 @@
   return best;
 }
 
+bool
+spt_awaits (const struct spt_host *hosts, unsigned count,
+            const struct amt_amount *need)
+{
+  unsigned i;
+
+  for (i = 0; i < count; i++)
+    if (hosts[i].usable && amt_fits (&hosts[i].total, need))
+      return true;
+  return false;
+}
+
 bool
 spt_possible (const struct spt_host *hosts, unsigned count,
               const struct amt_amount *need)
--- a/tests/unit/dispatch_test.cc
+++ b/tests/unit/dispatch_test.cc
@@ -339,6 +339,21 @@
     EXPECT_EQ (brd_useless (job, c.now_ms * kMs), c.useless) << c.now_ms;
 }
 
+TEST_F (Board, WorkBeginsWhileItsAnswerCanBeOfUse)
+{
+  const struct
+  {
+    uint64_t target_ms, until_ms;
+  } cases[] = { { 100, 250 }, { 200, 550 }, { 400, 950 } /* patience */,
+                { 10, 0 } };
+  for (const auto &c : cases)
+    {
+      struct brd_job *job = add ("a", 1, c.target_ms);
+      EXPECT_EQ (brd_start_until (job), c.until_ms * kMs) << c.target_ms;
+      brd_remove (&board, job);
+    }
+}
+
 TEST_F (Board, CompleteWhenAllTasksHaveEndedWell)
 {
   struct brd_job *job = add ("a", 2);
@@ -462,6 +477,23 @@
   EXPECT_FALSE (spt_possible (hosts.data (), 2, &not_at_all));
 }
 
+TEST (Spot, OnlyRoomThatCouldComeIsWaitedFor)
+{
+  std::vector<spt_host> hosts = { host (0), host (0) };
+  hosts[0].total.mcores = 9000;
+  hosts[0].usable = false;
+  const struct
+  {
+    uint32_t mcores;
+    bool awaits;
+  } cases[] = { { 8000, true }, { 8001, false }, { 9000, false } };
+  for (const auto &c : cases)
+    {
+      const struct amt_amount need = { c.mcores, 1, 0 };
+      EXPECT_EQ (spt_awaits (hosts.data (), 2, &need), c.awaits) << c.mcores;
+    }
+}
+
 struct cat_config *
 catalog (uint64_t version, std::vector<const char *> prefixes)
 {
--- /dev/null
+++ b/tests/unit/drain_test.cc
@@ -0,0 +1,60 @@
+#include <gtest/gtest.h>
+extern "C"
+{
+#include "lagoonvale/drain.h"
+}
+
+namespace
+{
+constexpr uint64_t kMs = 1000000;
+constexpr uint64_t kNever = UINT64_MAX;
+
+TEST (Drain, TheWaitFollowsFromWhoWasServedOfLate)
+{
+  const struct
+  {
+    unsigned served; /* evenly over the second before */
+    unsigned ahead;
+    uint64_t after_ms; /* since somebody waits */
+    uint64_t wait_ms;
+  } cases[] = {
+    { 0, 0, 999, 0 },       /* too early to tell */
+    { 0, 0, 1000, kNever }, { 10, 0, 1000, 0 },      { 10, 5, 1000, 500 },
+    { 100, 5, 1500, 50 },   { 1, 5, 1000, 5000 },
+  };
+  for (const auto &c : cases)
+    {
+      struct drn_drain d = {};
+      uint64_t start = 5000 * kMs;
+      uint64_t now = start + c.after_ms * kMs;
+      drn_waiting (&d, true, start);
+      for (unsigned i = 0; i < c.served; i++)
+        drn_served (&d, now - 900 * kMs + i * (900 * kMs / c.served));
+      uint64_t wait = drn_wait_ns (&d, c.ahead, now);
+      EXPECT_EQ (wait, c.wait_ms == kNever ? kNever : c.wait_ms * kMs)
+          << c.served << " served, " << c.ahead << " ahead";
+    }
+}
+
+TEST (Drain, WhatIsLongAgoDoesNotCount)
+{
+  struct drn_drain d = {};
+  drn_waiting (&d, true, 1);
+  for (unsigned i = 0; i < 50; i++)
+    drn_served (&d, 1000 * kMs);
+  EXPECT_EQ (drn_wait_ns (&d, 10, 1500 * kMs), 200 * kMs);
+  EXPECT_EQ (drn_wait_ns (&d, 10, 2100 * kMs), kNever);
+  EXPECT_EQ (drn_wait_ns (&d, 10, 900000 * kMs), kNever);
+}
+
+TEST (Drain, WhenNobodyWaitsItBeginsAnew)
+{
+  struct drn_drain d = {};
+  drn_waiting (&d, true, 1);
+  drn_waiting (&d, false, 2000 * kMs);
+  EXPECT_EQ (drn_wait_ns (&d, 3, 2000 * kMs), 0U);
+  drn_waiting (&d, true, 3000 * kMs);
+  EXPECT_EQ (drn_wait_ns (&d, 3, 3500 * kMs), 0U);
+  EXPECT_EQ (drn_wait_ns (&d, 3, 4000 * kMs), kNever);
+}
+} // namespace
