--- a/include/lagoonvale/story.h
+++ b/include/lagoonvale/story.h
@@ -31,7 +31,8 @@
 /** sty_finish() - free all lines. */
 void sty_finish (struct sty_story *s);
 
-/** sty_add() - a line of a log, without its newline; others are passed over. */
+/** sty_add() - a line of a log, without its newline; others are passed over.
+ */
 void sty_add (struct sty_story *s, struct lv_slice line);
 
 /**
--- a/proto/lvproto.x
+++ b/proto/lvproto.x
@@ -180,7 +180,7 @@
    backend server has free, and takes orders while the entry confirms its
    reports.  docs/PLATFORM.md, "Chain of leases".  */
 
-const LVP_ENTRIES_MAX = 64;
+const LVP_ENTRIES_MAX = 256;
 const LVP_RUNS_MAX = 4096;
 const LVP_QUEUES_MAX = 65536;
 
@@ -205,6 +205,7 @@
   bool synced;			/* nothing runs that the agent does not know */
   bool accepting;
   unsigned hyper orders;	/* of this entry, all that arrived */
+  unsigned hyper known;		/* digest of its list, as last learnt, or 0 */
   lvp_amount total;
   lvp_amount free;
 };
@@ -212,7 +213,8 @@
 struct lvp_report_res
 {
   bool hungry;			/* tasks wait there for room */
-  lvp_endpoints entries;
+  unsigned hyper digest;	/* of the list of entries here */
+  lvp_endpoints entries;	/* empty if the report knew it */
 };
 
 enum lvp_how
@@ -310,7 +312,9 @@
   lvp_endpoint self;
   unsigned hyper incarnation;
   unsigned hyper config;	/* version of the configuration in force */
-  lvp_endpoints entries;
+  unsigned hyper known;		/* digest of the other's list, or 0 */
+  unsigned hyper digest;	/* of the list of entries here */
+  lvp_endpoints entries;	/* empty if the other knows it */
 };
 
 program LVP_PROG
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -29,7 +29,8 @@
   { "lagoonvale_tasks_done_total", "runs ended well", false },
   { "lagoonvale_tasks_again_total", "runs that ended otherwise", false },
   { "lagoonvale_no_room_total", "orders refused for want of room", false },
-  { "lagoonvale_agents", "agents that have joined", true },
+  { "lagoonvale_agents", "agents known, also those lost of late", true },
+  { "lagoonvale_agents_joined", "agents that take orders", true },
   { "lagoonvale_open_jobs", "jobs that are not answered yet", true },
   { "lagoonvale_waiting_mcore_ms", "declared work that waits", true },
   { "lagoonvale_config_version", "configuration in force", true },
@@ -172,6 +173,17 @@
             (unsigned long long)ctr_read (&d->counters, DSP_JOBS_COMPLETE));
 }
 
+static unsigned
+count_joined (const struct dsp_dispatch *d)
+{
+  const struct flt_agent *a;
+  unsigned n = 0;
+
+  DL_FOREACH (d->fleet.agents, a)
+  n += a->conn != NULL && a->accepting;
+  return n;
+}
+
 static void
 tick (void *priv)
 {
@@ -188,6 +200,7 @@
     dsp_pump_soon (d);
   log_load (d, now);
   ctr_set_gauge (&d->counters, DSP_AGENTS, d->fleet.count);
+  ctr_set_gauge (&d->counters, DSP_AGENTS_JOINED, count_joined (d));
   ctr_set_gauge (&d->counters, DSP_OPEN_JOBS, HASH_COUNT (d->board.jobs));
   ctr_set_gauge (&d->counters, DSP_WAITING_MCORE_MS, d->board.work_mcore_ms);
   log_flush ();
--- a/src/dispatch_agents.c
+++ b/src/dispatch_agents.c
@@ -142,12 +142,12 @@
 }
 
 static lvp_report_res
-report_res (struct dsp_dispatch *d, lvp_endpoint room[PER_MAX])
+report_res (struct dsp_dispatch *d, lvp_endpoint room[PER_MAX], u_quad_t known)
 {
   lvp_report_res res = { 0 };
 
   res.hungry = d->board.queue != NULL;
-  res.entries = per_list (&d->peers, clk_boot (), room);
+  res.entries = per_list (&d->peers, clk_boot (), room, known, &res.digest);
   return res;
 }
 
@@ -186,7 +186,7 @@
   reconcile (d, a, &join);
   WIR_FREE (lvp_join, &join);
   res.incarnation = d->incarnation;
-  res.report = report_res (d, room);
+  res.report = report_res (d, room, 0);
   onc_reply (conn, xid, (xdrproc_t)xdr_lvp_join_res, &res);
   dsp_pump_soon (d);
 }
@@ -223,10 +223,11 @@
 }
 
 static void
-reply_report (struct dsp_dispatch *d, struct onc_conn *conn, uint32_t xid)
+reply_report (struct dsp_dispatch *d, struct onc_conn *conn, uint32_t xid,
+              u_quad_t known)
 {
   lvp_endpoint room[PER_MAX];
-  lvp_report_res res = report_res (d, room);
+  lvp_report_res res = report_res (d, room, known);
 
   onc_reply (conn, xid, (xdrproc_t)xdr_lvp_report_res, &res);
 }
@@ -244,7 +245,7 @@
       return;
     }
   take_report (d, a, &report);
-  reply_report (d, conn, xid);
+  reply_report (d, conn, xid, report.known);
 }
 
 void
@@ -263,8 +264,8 @@
   for (i = 0; i < ends.ends.lvp_end_list_len; i++)
     end_run (d, a, &ends.ends.lvp_end_list_val[i]);
   take_report (d, a, &ends.report);
+  reply_report (d, conn, xid, ends.report.known);
   WIR_FREE (lvp_ends, &ends);
-  reply_report (d, conn, xid);
 }
 
 static void
--- a/src/lvproto.h
+++ b/src/lvproto.h
@@ -212,7 +212,7 @@
 	lvp_bytes members;
 };
 typedef struct lvp_sync_res lvp_sync_res;
-#define LVP_ENTRIES_MAX 64
+#define LVP_ENTRIES_MAX 256
 #define LVP_RUNS_MAX 4096
 #define LVP_QUEUES_MAX 65536
 
@@ -239,6 +239,7 @@
 	bool_t synced;
 	bool_t accepting;
 	u_quad_t orders;
+	u_quad_t known;
 	lvp_amount total;
 	lvp_amount free;
 };
@@ -246,6 +247,7 @@
 
 struct lvp_report_res {
 	bool_t hungry;
+	u_quad_t digest;
 	lvp_endpoints entries;
 };
 typedef struct lvp_report_res lvp_report_res;
@@ -358,6 +360,8 @@
 	lvp_endpoint self;
 	u_quad_t incarnation;
 	u_quad_t config;
+	u_quad_t known;
+	u_quad_t digest;
 	lvp_endpoints entries;
 };
 typedef struct lvp_peer lvp_peer;
--- a/src/lvproto_xdr.c
+++ b/src/lvproto_xdr.c
@@ -465,6 +465,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->orders))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->known))
+		 return FALSE;
 	 if (!xdr_lvp_amount (xdrs, &objp->total))
 		 return FALSE;
 	 if (!xdr_lvp_amount (xdrs, &objp->free))
@@ -479,6 +481,8 @@
 
 	 if (!xdr_bool (xdrs, &objp->hungry))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
 	 if (!xdr_lvp_endpoints (xdrs, &objp->entries))
 		 return FALSE;
 	return TRUE;
@@ -727,6 +731,10 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->config))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->known))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
 	 if (!xdr_lvp_endpoints (xdrs, &objp->entries))
 		 return FALSE;
 	return TRUE;
--- a/src/peers.c
+++ b/src/peers.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <talloc.h>
 #include <utlist.h>
+#include <xxhash.h>
 
 #include "clock.h"
 #include "logline.h"
@@ -20,6 +21,9 @@
 #define DIAL_NS (100 * CLK_MS)
 /* An address that has not answered for this long is forgotten, ns.  */
 #define GONE_NS (20 * CLK_S)
+/* Time between two exchanges that carry the whole list, ns: a peer that was
+   forgotten while it was cut off is learnt anew from others.  */
+#define RELIST_NS (5 * CLK_S)
 /* A peer that has not answered for this long is not named to others, ns.  */
 #define NAMED_NS (2 * CLK_S)
 
@@ -33,6 +37,9 @@
   uint64_t heard_ns;
   uint64_t sent_ns;
   uint64_t dialed_ns;
+  uint64_t listed_ns; /* when the whole list was sent last */
+  u_quad_t told;      /* digest of the list sent last */
+  u_quad_t known;     /* digest of its list */
   bool asking;
   bool fetching;
   struct per_peer *prev;
@@ -111,7 +118,7 @@
 
 lvp_endpoints
 per_list (const struct per_peers *p, uint64_t now_ns,
-          lvp_endpoint room[PER_MAX])
+          lvp_endpoint room[PER_MAX], u_quad_t known, u_quad_t *digest)
 {
   lvp_endpoints list = { 0, room };
   const struct per_peer *peer;
@@ -120,6 +127,9 @@
   DL_FOREACH (p->peers, peer)
   if (peer->heard_ns != 0 && clk_since (now_ns, peer->heard_ns) < NAMED_NS)
     room[list.lvp_endpoints_len++] = peer->at;
+  *digest = XXH3_64bits (room, list.lvp_endpoints_len * sizeof room[0]);
+  if (known == *digest)
+    list.lvp_endpoints_len = 0;
   return list;
 }
 
@@ -204,16 +214,17 @@
     fetch_config (peer);
 }
 
+/* What this entry says of itself to one that has the list KNOWN.  */
 static lvp_peer
 introduce (const struct per_peers *p, uint64_t now_ns,
-           lvp_endpoint room[PER_MAX])
+           lvp_endpoint room[PER_MAX], u_quad_t known)
 {
   lvp_peer out = { 0 };
 
   out.self = p->self;
   out.incarnation = p->incarnation;
   out.config = p->events.version (p->events.priv);
-  out.entries = per_list (p, now_ns, room);
+  out.entries = per_list (p, now_ns, room, known, &out.digest);
   return out;
 }
 
@@ -237,6 +248,7 @@
     log_line (LOGL_INFO, "peer-up", "peer=%s config=%llu", peer->text,
               (unsigned long long)in.config);
   peer->heard_ns = now_ns;
+  peer->known = in.digest;
   learn (peer->all, &in, now_ns);
   WIR_FREE (lvp_peer, &in);
 }
@@ -244,9 +256,14 @@
 static void
 exchange (struct per_peer *peer, uint64_t now_ns)
 {
+  bool whole = clk_since (now_ns, peer->listed_ns) >= RELIST_NS;
   lvp_endpoint room[PER_MAX];
-  lvp_peer out = introduce (peer->all, now_ns, room);
+  lvp_peer out = introduce (peer->all, now_ns, room, whole ? 0 : peer->told);
 
+  if (whole)
+    peer->listed_ns = now_ns;
+  out.known = whole ? 0 : peer->known;
+  peer->told = out.digest;
   peer->asking = onc_call (peer->conn, LVP_PEER, (xdrproc_t)xdr_lvp_peer, &out,
                            exchanged, peer)
                  == 0;
@@ -264,6 +281,7 @@
               err->code, err->detail);
   peer->conn = NULL;
   peer->asking = false;
+  peer->listed_ns = 0;
   peer->heard_ns = 0;
 }
 
@@ -334,6 +352,7 @@
              XDR *args, uint64_t now_ns)
 {
   lvp_endpoint room[PER_MAX];
+  u_quad_t known;
   lvp_peer in;
   lvp_peer out;
 
@@ -343,8 +362,9 @@
       return;
     }
   learn (p, &in, now_ns);
+  known = in.known;
   WIR_FREE (lvp_peer, &in);
-  out = introduce (p, now_ns, room);
+  out = introduce (p, now_ns, room, known);
   onc_reply (conn, xid, (xdrproc_t)xdr_lvp_peer, &out);
 }
 
--- a/src/peers.h
+++ b/src/peers.h
@@ -59,9 +59,16 @@
 /** per_tick() - dial, exchange, give up entries that are gone. */
 void per_tick (struct per_peers *p, uint64_t now_ns);
 
-/** per_list() - this entry and all others that answer; borrowed from @room. */
+/**
+ * per_list() - this entry and all others that answer; borrowed from @room
+ * @known: digest of the list that the reader has, or 0
+ * @digest: set to that of the list
+ *
+ * Return: the list; empty if the reader has it already.
+ */
 lvp_endpoints per_list (const struct per_peers *p, uint64_t now_ns,
-                        lvp_endpoint room[PER_MAX]);
+                        lvp_endpoint room[PER_MAX], u_quad_t known,
+                        u_quad_t *digest);
 
 /** per_on_peer() - answer the exchange that a peer has begun. */
 void per_on_peer (struct per_peers *p, struct onc_conn *conn, uint32_t xid,
--- a/src/runner.h
+++ b/src/runner.h
@@ -20,6 +20,7 @@
 
 /**
  * struct rnr_settings - what the runner needs of the settings file
+ * @entries_max: entries to be served, if there are more
  * @lease_max_ms: longest lease that the minion grants
  */
 struct rnr_settings
@@ -28,6 +29,7 @@
   const char *domain;
   const char *service;
   struct set_strings seeds;
+  uint64_t entries_max;
   uint64_t lease_max_ms;
 };
 
@@ -97,6 +99,7 @@
   uint64_t token;
   uint64_t token_step;
   struct rnr_session *sessions;
+  uint64_t chosen_ns; /* when the entries to be served were chosen last */
   struct rnr_end *ends;
   bool leaving;
   uint64_t leaving_ns;
--- a/src/runner_entries.c
+++ b/src/runner_entries.c
@@ -4,6 +4,7 @@
 #include <talloc.h>
 #include <utlist.h>
 
+#include "lagoonvale/subset.h"
 #include "logline.h"
 #include "wire.h"
 
@@ -16,6 +17,14 @@
 #define JOIN_NS (500 * CLK_MS)
 /* An address that has not answered for this long is forgotten, ns.  */
 #define GONE_NS (20 * CLK_S)
+/* Time between two reports that ask for an entry's whole list, ns: less than
+   GONE_NS, so that what is listed is not forgotten.  */
+#define RELIST_NS (5 * CLK_S)
+/* Time between two choices of the entries to be served, ns.  */
+#define CHOOSE_NS (500 * CLK_MS)
+/* Time for which an entry that is not served any more may still send orders
+   that were under way, ns.  */
+#define RETIRE_NS CLK_S
 /* Outcomes that an entry has not taken for this long are dropped, ns.  */
 #define END_KEEP_NS (3 * CLK_S)
 
@@ -32,12 +41,14 @@
              uint64_t now_ns)
 {
   struct amt_amount left = rnb_free (&r->book);
-  lvp_report report = { .stamp_ms = now_ns / CLK_MS,
-                        .synced = r->minion.known && r->book.unknown == 0,
-                        .accepting = rnr_accepting (r, now_ns),
-                        .orders = s->orders,
-                        .total = wir_amount (&r->book.total),
-                        .free = wir_amount (&left) };
+  lvp_report report
+      = { .stamp_ms = now_ns / CLK_MS,
+          .synced = r->minion.known && r->book.unknown == 0,
+          .accepting = rnr_accepting (r, now_ns) && s->retiring_ns == 0,
+          .orders = s->orders,
+          .known = s->known,
+          .total = wir_amount (&r->book.total),
+          .free = wir_amount (&left) };
 
   return report;
 }
@@ -64,6 +75,7 @@
   s = talloc_zero (r->mem_ctx, struct rnr_session);
   s->runner = r;
   s->at = *at;
+  s->wanted = true;
   net_format (at->addr, at->port, s->text);
   DL_APPEND (r->sessions, s);
   log_line (LOGL_INFO, "entry-known", "entry=%s", s->text);
@@ -122,6 +134,7 @@
       if (confirm->sent_ns > s->confirmed_ns)
         s->confirmed_ns = confirm->sent_ns;
       s->hungry = out.hungry;
+      s->known = out.digest;
       learn_entries (s->runner, &out.entries);
       WIR_FREE (lvp_report_res, &out);
       if (confirm->with_ends && --s->ends_under_way == 0)
@@ -138,6 +151,11 @@
   confirm->session = s;
   confirm->sent_ns = now_ns;
   confirm->with_ends = with_ends;
+  if (clk_since (now_ns, s->listed_ns) >= RELIST_NS)
+    {
+      s->listed_ns = now_ns;
+      s->known = 0;
+    }
   s->reported_ns = now_ns;
   s->told = true;
   return confirm;
@@ -436,12 +454,77 @@
   send_join (s, now_ns);
 }
 
+/* Whether a run or an untaken outcome here belongs to the entry of S.  */
+static bool
+owes (const struct rnr_session *s)
+{
+  const struct rnr_runner *r = s->runner;
+  const struct rnb_run *run;
+  const struct rnr_end *end;
+
+  for (run = r->book.runs; run != NULL; run = run->hh.next)
+    if (run->owner == s->entry)
+      return true;
+  DL_FOREACH (r->ends, end)
+  if (end->owner == s->entry)
+    return true;
+  return false;
+}
+
+/* An entry that is not to be served any more is told, and left once nothing of
+   it is here.  */
+static void
+retire (struct rnr_session *s, uint64_t now_ns)
+{
+  if (!s->joined || s->wanted)
+    return;
+  if (s->retiring_ns == 0)
+    {
+      s->retiring_ns = now_ns;
+      send_report (s);
+    }
+  else if (clk_since (now_ns, s->retiring_ns) >= RETIRE_NS && !owes (s))
+    onc_close (s->conn, -ECANCELED, "served by other agents");
+}
+
+static void
+choose_entries (struct rnr_runner *r, uint64_t now_ns)
+{
+  struct sub_member *members;
+  struct rnr_session *s;
+  unsigned count = 0;
+  unsigned i;
+
+  if (clk_since (now_ns, r->chosen_ns) < CHOOSE_NS)
+    return;
+  r->chosen_ns = now_ns;
+  DL_COUNT (r->sessions, s, count);
+  members = talloc_zero_array (NULL, struct sub_member, count);
+  i = 0;
+  DL_FOREACH (r->sessions, s)
+  {
+    members[i].rank
+        = sub_rank (lv_slice_of (r->set.name), lv_slice_of (s->text));
+    members[i].reached = s->joined;
+    members[i++].owner = s;
+  }
+  sub_choose (members, count, (unsigned)r->set.entries_max);
+  for (i = 0; i < count; i++)
+    {
+      s = members[i].owner;
+      s->wanted = members[i].wanted;
+      if (s->wanted)
+        s->retiring_ns = 0;
+    }
+  talloc_free (members);
+}
+
 static void
 tick_session (struct rnr_session *s, uint64_t now_ns)
 {
   if (s->conn == NULL)
     {
-      if (clk_since (now_ns, s->dialed_ns) >= DIAL_NS)
+      if (s->wanted && clk_since (now_ns, s->dialed_ns) >= DIAL_NS)
         dial (s, now_ns);
     }
   else if (!s->joined)
@@ -467,8 +550,10 @@
   struct rnr_session *s;
   struct rnr_session *next;
 
+  choose_entries (r, now_ns);
   DL_FOREACH_SAFE (r->sessions, s, next)
   {
+    retire (s, now_ns);
     tick_session (s, now_ns);
     if (s->conn != NULL || s->is_seed
         || clk_since (now_ns, s->named_ns) < GONE_NS)
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -22,6 +22,9 @@
  * @entry: incarnation that last took a join
  * @confirmed_ns: when the newest report was sent that the entry has answered
  * @orders: that came on this connection
+ * @known: digest of its list of entries, as last learnt
+ * @wanted: one of those to be served
+ * @retiring_ns: since when it is told not to order here any more, or 0
  * @is_seed: it is dialed for as long as this process lives
  */
 struct rnr_session
@@ -32,6 +35,10 @@
   struct onc_conn *conn;
   bool joined;
   bool is_seed;
+  bool wanted;
+  uint64_t retiring_ns;
+  uint64_t listed_ns; /* when its whole list was asked for last */
+  u_quad_t known;
   bool hungry;
   bool told; /* in this turn */
   uint64_t entry;
--- a/src/story.c
+++ b/src/story.c
@@ -30,11 +30,11 @@
 
 /* Events that change what an instance can do.  */
 static const char *const circumstances[] = {
-  "started",     "leaving",       "stopped",      "agent-lost",
-  "agent-joined", "agent-health", "entry-lost",   "entry-joined",
-  "minion",      "minion-gone",   "minion-left",  "minion-report",
-  "store-lost",  "store-regained", "config",      "order-refused",
-  "load",        "log-left-out",  "log-lost",     "start-unanswered",
+  "started",      "leaving",        "stopped",     "agent-lost",
+  "agent-joined", "agent-health",   "entry-lost",  "entry-joined",
+  "minion",       "minion-gone",    "minion-left", "minion-report",
+  "store-lost",   "store-regained", "config",      "order-refused",
+  "load",         "log-left-out",   "log-lost",    "start-unanswered",
 };
 
 void
@@ -254,8 +254,9 @@
         out, "= not answered: %s started anew %.3f s after it took it\n",
         l->name, l->at_s - arrival->at_s);
   return talloc_strdup_append_buffer (
-      out, "= no answer in these logs: the entry died, was paused, or its line "
-           "is missing (answers in time are capped, see log-left-out)\n");
+      out,
+      "= no answer in these logs: the entry died, was paused, or its line "
+      "is missing (answers in time are capped, see log-left-out)\n");
 }
 
 char *
--- /dev/null
+++ b/src/subset.c
@@ -0,0 +1,34 @@
+#include "lagoonvale/subset.h"
+
+#include <stdlib.h>
+#include <xxhash.h>
+
+uint64_t
+sub_rank (struct lv_slice agent, struct lv_slice entry)
+{
+  return XXH3_64bits_withSeed (entry.data, entry.len,
+                               XXH3_64bits (agent.data, agent.len));
+}
+
+static int
+by_rank (const void *a, const void *b)
+{
+  const struct sub_member *x = a;
+  const struct sub_member *y = b;
+
+  return x->rank > y->rank ? -1 : x->rank < y->rank;
+}
+
+void
+sub_choose (struct sub_member *members, unsigned count, unsigned most)
+{
+  unsigned reached = 0;
+  unsigned i;
+
+  qsort (members, count, sizeof members[0], by_rank);
+  for (i = 0; i < count; i++)
+    {
+      members[i].wanted = reached < most;
+      reached += members[i].reached;
+    }
+}
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -126,6 +126,16 @@
         self.assertEqual(status, 503)
         self.assertLess(took, 1.0)  # three times its target is 0.3 s
 
+    def test_large_tasks_start_while_small_ones_keep_coming(self):
+        c = self.ready(entries=1, agents=1, mcores=8000)
+        small = Callers(c, workers=12, run_ms=60, mcores=1000)
+        self.assertTrue(wait_until(lambda: len(small.answers) > 30))
+        served = sum(c.submit(0, job(run_ms=100, mcores=6000),
+                              wait_ms=1500)[0] == 200 for _ in range(10))
+        small.stop()
+        self.assertGreaterEqual(served, 8)
+        self.check_rules(c)
+
     def test_state_pending_and_cancelling(self):
         c = self.ready(entries=1)
         base = "http://%s/rush/" % c.addresses[0]["jobs"]
@@ -241,6 +251,23 @@
             0, job(run_ms=5))[0] == 200, 3))
         self.check_rules(c)
 
+    def test_an_agent_serves_a_few_of_many_entries_and_replaces_the_lost(self):
+        c = self.cluster(entries=4, agents=4, agent={"entries_max": 2})
+        c.await_ready()
+
+        def served():
+            return [c.metric(e, "lagoonvale_agents_joined")
+                    for e in c.entries if e.alive()]
+
+        self.assertTrue(wait_until(lambda: sum(served()) == 8, 8))
+        callers = Callers(c, workers=4, run_ms=40)
+        self.assertTrue(wait_until(lambda: len(callers.answers) > 40))
+        lost = served().index(max(served()))
+        c.entries[lost].kill()
+        self.assertTrue(wait_until(lambda: sum(served()) == 8, 8))
+        callers.stop()
+        self.check_rules(c)
+
     def test_the_store_lists_each_entry_once(self):
         c = self.ready(entries=2, agents=1)
         c.entries[1].kill()
--- a/tools/platform_cluster.py
+++ b/tools/platform_cluster.py
@@ -37,7 +37,8 @@
 
 class PlatformCluster:
     def __init__(self, entries=2, agents=2, mcores=8000, configured=True,
-                 proxy=False, seeds=None):
+                 proxy=False, seeds=None, agent=None):
+        self.agent_settings = agent or {}
         self.dir = tempfile.mkdtemp(prefix="lagoonvale-")
         ports = iter(free_ports(2 + 5 * entries + 4 * agents))
         self.proxy, self.routes = None, {}
@@ -130,7 +131,7 @@
             "domain": "d%d" % i, "service": SERVICE, "reports": report,
             "minion": self.routes.get("minion-%d" % i, orders),
             "metrics": metrics, "store": self.store.address,
-            "lease_max_ms": 1000})
+            "lease_max_ms": 1000, **self.agent_settings})
         argv = [os.path.join(BUILD, "lagoonvale-runner"), path]
         self.agents.append(self.add(name, argv, report,
                                     "http://%s/metrics" % metrics))
