--- a/include/lagoonvale/lagoonvale.h
+++ b/include/lagoonvale/lagoonvale.h
@@ -11,30 +11,49 @@
  * Workers:   lease, room, turn
  * Clients:   budget
  * Rules:     rules, ruleversion
- * Metrics:   counter
+ * Metrics:   counter, histogram
+ * Dispatch:  board, spot, drain, trail, amount, catalog
+ * Agents:    runbook, minion, chain
+ * Finding:   directory, subset
+ * Names:     name
+ * Logs:      story
  */
 #ifndef LV_LAGOONVALE_H
 #define LV_LAGOONVALE_H
 
 #include "lagoonvale/adopt.h"
+#include "lagoonvale/amount.h"
+#include "lagoonvale/board.h"
 #include "lagoonvale/budget.h"
+#include "lagoonvale/catalog.h"
+#include "lagoonvale/chain.h"
 #include "lagoonvale/counter.h"
+#include "lagoonvale/directory.h"
+#include "lagoonvale/drain.h"
 #include "lagoonvale/estimate.h"
 #include "lagoonvale/grant.h"
 #include "lagoonvale/health.h"
+#include "lagoonvale/histogram.h"
 #include "lagoonvale/keybind.h"
 #include "lagoonvale/lease.h"
 #include "lagoonvale/ledger.h"
+#include "lagoonvale/minion.h"
+#include "lagoonvale/name.h"
 #include "lagoonvale/placement.h"
 #include "lagoonvale/queue.h"
 #include "lagoonvale/room.h"
 #include "lagoonvale/roster.h"
 #include "lagoonvale/rules.h"
 #include "lagoonvale/ruleversion.h"
+#include "lagoonvale/runbook.h"
 #include "lagoonvale/share.h"
 #include "lagoonvale/sid.h"
 #include "lagoonvale/slice.h"
+#include "lagoonvale/spot.h"
+#include "lagoonvale/story.h"
 #include "lagoonvale/submission.h"
+#include "lagoonvale/subset.h"
+#include "lagoonvale/trail.h"
 #include "lagoonvale/turn.h"
 
 #endif
--- a/src/board.c
+++ b/src/board.c
@@ -117,7 +117,9 @@
 static void
 forget_run (struct brd_board *b, struct brd_task *task)
 {
-  if (task->state == BRD_PLACED || task->state == BRD_DOUBTFUL)
+  bool known = task->state == BRD_PLACED || task->state == BRD_DOUBTFUL;
+
+  if (known && b->runs != NULL)
     HASH_DEL (b->runs, task);
 }
 
--- a/src/runner_entries.c
+++ b/src/runner_entries.c
@@ -4,7 +4,6 @@
 #include <talloc.h>
 #include <utlist.h>
 
-#include "lagoonvale/subset.h"
 #include "logline.h"
 #include "wire.h"
 
@@ -17,237 +16,9 @@
 #define JOIN_NS (500 * CLK_MS)
 /* An address that has not answered for this long is forgotten, ns.  */
 #define GONE_NS (20 * CLK_S)
-/* Time between two reports that ask for an entry's whole list, ns: less than
-   GONE_NS, so that what is listed is not forgotten.  */
-#define RELIST_NS (5 * CLK_S)
-/* Time between two choices of the entries to be served, ns.  */
-#define CHOOSE_NS (500 * CLK_MS)
 /* Time for which an entry that is not served any more may still send orders
    that were under way, ns.  */
 #define RETIRE_NS CLK_S
-/* Outcomes that an entry has not taken for this long are dropped, ns.  */
-#define END_KEEP_NS (3 * CLK_S)
-
-/* A report under way: when it was sent, and with ends or not.  */
-struct confirm
-{
-  struct rnr_session *session;
-  uint64_t sent_ns;
-  bool with_ends;
-};
-
-static lvp_report
-make_report (const struct rnr_runner *r, const struct rnr_session *s,
-             uint64_t now_ns)
-{
-  struct amt_amount left = rnb_free (&r->book);
-  lvp_report report
-      = { .stamp_ms = now_ns / CLK_MS,
-          .synced = r->minion.known && r->book.unknown == 0,
-          .accepting = rnr_accepting (r, now_ns) && s->retiring_ns == 0,
-          .orders = s->orders,
-          .known = s->known,
-          .total = wir_amount (&r->book.total),
-          .free = wir_amount (&left) };
-
-  return report;
-}
-
-static struct rnr_session *
-session_of (const struct rnr_runner *r, uint64_t entry)
-{
-  struct rnr_session *s;
-
-  DL_FOREACH (r->sessions, s)
-  if (s->joined && s->entry == entry)
-    return s;
-  return NULL;
-}
-
-static struct rnr_session *
-add_session (struct rnr_runner *r, const lvp_endpoint *at)
-{
-  struct rnr_session *s;
-
-  DL_FOREACH (r->sessions, s)
-  if (wir_same_endpoint (&s->at, at))
-    return s;
-  s = talloc_zero (r->mem_ctx, struct rnr_session);
-  s->runner = r;
-  s->at = *at;
-  s->wanted = true;
-  net_format (at->addr, at->port, s->text);
-  DL_APPEND (r->sessions, s);
-  log_line (LOGL_INFO, "entry-known", "entry=%s", s->text);
-  return s;
-}
-
-static void
-learn_entries (struct rnr_runner *r, const lvp_endpoints *entries)
-{
-  uint64_t now = clk_boot ();
-  u_int i;
-
-  for (i = 0; i < entries->lvp_endpoints_len; i++)
-    add_session (r, &entries->lvp_endpoints_val[i])->named_ns = now;
-}
-
-/* What S has sent and not confirmed is to be sent again.  */
-static void
-unsend_ends (struct rnr_session *s)
-{
-  struct rnr_end *end;
-
-  s->ends_under_way = 0;
-  DL_FOREACH (s->runner->ends, end)
-  if (end->owner == s->entry)
-    end->sent = false;
-}
-
-static void
-forget_ends (struct rnr_session *s)
-{
-  struct rnr_end *end;
-  struct rnr_end *next;
-
-  DL_FOREACH_SAFE (s->runner->ends, end, next)
-  if (end->sent && end->owner == s->entry)
-    {
-      DL_DELETE (s->runner->ends, end);
-      talloc_free (end);
-    }
-}
-
-static void
-report_answered (struct onc_conn *conn, int err, XDR *res, void *priv)
-{
-  struct confirm *confirm = priv;
-  struct rnr_session *s = confirm->session;
-  lvp_report_res out;
-
-  (void)conn;
-  if (err == 0 && WIR_DECODE (lvp_report_res, res, &out))
-    {
-      rnr_note_time (s->runner, RNR_TIME_REPORT,
-                     confirm->with_ends ? "ends" : "report",
-                     clk_since (clk_boot (), confirm->sent_ns));
-      if (confirm->sent_ns > s->confirmed_ns)
-        s->confirmed_ns = confirm->sent_ns;
-      s->hungry = out.hungry;
-      s->known = out.digest;
-      learn_entries (s->runner, &out.entries);
-      WIR_FREE (lvp_report_res, &out);
-      if (confirm->with_ends && --s->ends_under_way == 0)
-        forget_ends (s);
-    }
-  talloc_free (confirm);
-}
-
-static struct confirm *
-begin_report (struct rnr_session *s, uint64_t now_ns, bool with_ends)
-{
-  struct confirm *confirm = talloc_zero (s->runner->mem_ctx, struct confirm);
-
-  confirm->session = s;
-  confirm->sent_ns = now_ns;
-  confirm->with_ends = with_ends;
-  if (clk_since (now_ns, s->listed_ns) >= RELIST_NS)
-    {
-      s->listed_ns = now_ns;
-      s->known = 0;
-    }
-  s->reported_ns = now_ns;
-  s->told = true;
-  return confirm;
-}
-
-static void
-send_report (struct rnr_session *s)
-{
-  uint64_t now = clk_boot ();
-  lvp_report report = make_report (s->runner, s, now);
-  struct confirm *confirm = begin_report (s, now, false);
-
-  if (onc_call (s->conn, LVP_REPORT, (xdrproc_t)xdr_lvp_report, &report,
-                report_answered, confirm)
-      != 0)
-    talloc_free (confirm);
-}
-
-/* Send S the ends that it has not been sent.  */
-static void
-send_ends (struct rnr_session *s)
-{
-  struct rnr_runner *r = s->runner;
-  uint64_t now = clk_boot ();
-  struct confirm *confirm;
-  struct rnr_end *end;
-  lvp_ends ends = { 0 };
-  u_int n = 0;
-
-  DL_FOREACH (r->ends, end)
-  n += !end->sent && end->owner == s->entry;
-  if (n == 0)
-    return;
-  if (n > LVP_RUNS_MAX)
-    n = LVP_RUNS_MAX;
-  ends.ends.lvp_end_list_val = talloc_array (NULL, lvp_end, n);
-  DL_FOREACH (r->ends, end)
-  if (!end->sent && end->owner == s->entry && ends.ends.lvp_end_list_len < n)
-    {
-      ends.ends.lvp_end_list_val[ends.ends.lvp_end_list_len++] = end->end;
-      end->sent = true;
-    }
-  ends.report = make_report (r, s, now);
-  confirm = begin_report (s, now, true);
-  s->ends_under_way++;
-  if (onc_call (s->conn, LVP_ENDS, (xdrproc_t)xdr_lvp_ends, &ends,
-                report_answered, confirm)
-      != 0)
-    {
-      talloc_free (confirm);
-      unsend_ends (s);
-    }
-  talloc_free (ends.ends.lvp_end_list_val);
-}
-
-/* Tell one of the entries that wait of the room there is, each in its turn:
-   told all at once, they would all order for the same room.  */
-static void
-tell_next_hungry (struct rnr_runner *r)
-{
-  struct amt_amount left = rnb_free (&r->book);
-  struct rnr_session *s;
-
-  if (left.mcores == 0)
-    return;
-  DL_FOREACH (r->sessions, s)
-  if (s->joined && s->hungry && !s->told)
-    break;
-  if (s == NULL)
-    return;
-  send_report (s);
-  DL_DELETE (r->sessions, s);
-  DL_APPEND (r->sessions, s);
-}
-
-/* Ends to whom they concern, room to those who wait for it.  */
-void
-rnr_tell_entries (struct rnr_runner *r, bool all)
-{
-  struct rnr_session *s;
-
-  DL_FOREACH (r->sessions, s)
-  {
-    s->told = false;
-    if (!s->joined)
-      continue;
-    send_ends (s);
-    if (all && !s->told)
-      send_report (s);
-  }
-  tell_next_hungry (r);
-}
 
 static void
 take_order (struct rnr_session *s, const lvp_order *order)
@@ -275,7 +46,7 @@
                     fresh ? LVP_HOW_LEAVING : LVP_HOW_STALE, 0);
   if (!fresh)
     ctr_add (&r->counters, RNR_STALE, order->runs.runs_len);
-  send_ends (s);
+  rnr_send_ends (s);
 }
 
 static void
@@ -347,7 +118,7 @@
     }
   s->conn = NULL;
   s->joined = false;
-  unsend_ends (s);
+  rnr_unsend_ends (s);
 }
 
 static void
@@ -369,7 +140,7 @@
 static void
 joined (struct onc_conn *conn, int err, XDR *res, void *priv)
 {
-  struct confirm *confirm = priv;
+  struct rnr_confirm *confirm = priv;
   struct rnr_session *s = confirm->session;
   uint64_t sent_ns = confirm->sent_ns;
   lvp_join_res out;
@@ -391,9 +162,9 @@
   s->hungry = out.report.hungry;
   log_line (LOGL_INFO, "entry-joined", "entry=%s incarnation=%llx", s->text,
             (unsigned long long)s->entry);
-  learn_entries (s->runner, &out.report.entries);
+  rnr_learn_entries (s->runner, &out.report.entries);
   WIR_FREE (lvp_join_res, &out);
-  send_ends (s);
+  rnr_send_ends (s);
 }
 
 /* Numbers of the runs and untaken ends that belong to the entry of S.  */
@@ -420,13 +191,13 @@
 send_join (struct rnr_session *s, uint64_t now_ns)
 {
   struct rnr_runner *r = s->runner;
-  struct confirm *confirm = begin_report (s, now_ns, false);
+  struct rnr_confirm *confirm = rnr_begin_report (s, now_ns, false);
   lvp_join join = { .name = (char *)r->set.name,
                     .incarnation = r->incarnation,
                     .service = (char *)r->set.service,
                     .domain = (char *)r->set.domain,
                     .entry = s->entry,
-                    .report = make_report (r, s, now_ns) };
+                    .report = rnr_make_report (r, s, now_ns) };
 
   join.runs.runs_val = list_runs (s, &join.runs.runs_len);
   if (onc_call (s->conn, LVP_JOIN, (xdrproc_t)xdr_lvp_join, &join, joined,
@@ -454,23 +225,6 @@
   send_join (s, now_ns);
 }
 
-/* Whether a run or an untaken outcome here belongs to the entry of S.  */
-static bool
-owes (const struct rnr_session *s)
-{
-  const struct rnr_runner *r = s->runner;
-  const struct rnb_run *run;
-  const struct rnr_end *end;
-
-  for (run = r->book.runs; run != NULL; run = run->hh.next)
-    if (run->owner == s->entry)
-      return true;
-  DL_FOREACH (r->ends, end)
-  if (end->owner == s->entry)
-    return true;
-  return false;
-}
-
 /* An entry that is not to be served any more is told, and left once nothing of
    it is here.  */
 static void
@@ -481,44 +235,12 @@
   if (s->retiring_ns == 0)
     {
       s->retiring_ns = now_ns;
-      send_report (s);
+      rnr_send_report (s);
     }
-  else if (clk_since (now_ns, s->retiring_ns) >= RETIRE_NS && !owes (s))
+  else if (clk_since (now_ns, s->retiring_ns) >= RETIRE_NS && !rnr_owes (s))
     onc_close (s->conn, -ECANCELED, "served by other agents");
 }
 
-static void
-choose_entries (struct rnr_runner *r, uint64_t now_ns)
-{
-  struct sub_member *members;
-  struct rnr_session *s;
-  unsigned count = 0;
-  unsigned i;
-
-  if (clk_since (now_ns, r->chosen_ns) < CHOOSE_NS)
-    return;
-  r->chosen_ns = now_ns;
-  DL_COUNT (r->sessions, s, count);
-  members = talloc_zero_array (NULL, struct sub_member, count);
-  i = 0;
-  DL_FOREACH (r->sessions, s)
-  {
-    members[i].rank
-        = sub_rank (lv_slice_of (r->set.name), lv_slice_of (s->text));
-    members[i].reached = s->joined;
-    members[i++].owner = s;
-  }
-  sub_choose (members, count, (unsigned)r->set.entries_max);
-  for (i = 0; i < count; i++)
-    {
-      s = members[i].owner;
-      s->wanted = members[i].wanted;
-      if (s->wanted)
-        s->retiring_ns = 0;
-    }
-  talloc_free (members);
-}
-
 static void
 tick_session (struct rnr_session *s, uint64_t now_ns)
 {
@@ -537,7 +259,7 @@
   else if (!chn_fresh (s->confirmed_ns, now_ns))
     onc_close (s->conn, -ETIMEDOUT, "no answer to reports");
   else if (clk_since (now_ns, s->reported_ns) >= CHN_REPORT_NS)
-    send_report (s);
+    rnr_send_report (s);
   /* Nobody confirms what runs for this entry: it must end before the entry
      takes it to have ended.  */
   if (s->entry != 0 && !chn_fresh (s->confirmed_ns, now_ns))
@@ -550,7 +272,7 @@
   struct rnr_session *s;
   struct rnr_session *next;
 
-  choose_entries (r, now_ns);
+  rnr_choose_entries (r, now_ns);
   DL_FOREACH_SAFE (r->sessions, s, next)
   {
     retire (s, now_ns);
@@ -563,68 +285,3 @@
     talloc_free (s);
   }
 }
-
-void
-rnr_drop_old_ends (struct rnr_runner *r, uint64_t now_ns)
-{
-  struct rnr_end *end;
-  struct rnr_end *next;
-
-  DL_FOREACH_SAFE (r->ends, end, next)
-  if (clk_since (now_ns, end->since_ns) > END_KEEP_NS
-      && session_of (r, end->owner) == NULL)
-    {
-      DL_DELETE (r->ends, end);
-      talloc_free (end);
-    }
-}
-
-/* The session of the entry at ADDRESS, a new one if it was not known; NULL if
-   that is no address.  */
-static struct rnr_session *
-find_entry (struct rnr_runner *r, struct lv_slice address)
-{
-  struct rnr_session *s;
-  lvp_endpoint at;
-
-  if (wir_parse_endpoint (&at, address) != 0)
-    {
-      log_line (LOGL_WARN, "entry-bad-address", "text=%.*s", (int)address.len,
-                address.data);
-      return NULL;
-    }
-  s = add_session (r, &at);
-  s->named_ns = clk_boot ();
-  return s;
-}
-
-void
-rnr_seeds (struct rnr_runner *r, const struct set_strings *seeds)
-{
-  struct rnr_session *s;
-  unsigned i;
-
-  for (i = 0; i < seeds->count; i++)
-    {
-      s = find_entry (r, lv_slice_of (seeds->item[i]));
-      if (s != NULL)
-        s->is_seed = true;
-    }
-}
-
-void
-rnr_entry_found (struct rnr_runner *r, struct lv_slice address)
-{
-  find_entry (r, address);
-}
-
-bool
-rnr_alone (const struct rnr_runner *r)
-{
-  const struct rnr_session *s;
-
-  DL_FOREACH (r->sessions, s)
-  if (s->joined)
-    return false;
-  return true;
-}
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -4,7 +4,9 @@
  * What the parts of the runner call of each other.  Calls run one way:
  *
  *   runner.c           life of the process, reports of the minion, ticks
- *   runner_entries.c   entries: connections, reports, orders
+ *   runner_entries.c   connections to entries, orders
+ *   runner_reports.c   reports and ends to entries
+ *   runner_known.c     which entries there are, and are served
  *   runner_minion.c    the minion: lease, starts, stops, looks
  *
  * The minion's part reports back through rnr_runner.looked.
@@ -72,16 +74,52 @@
   hst_observe (&r->times, id, lv_slice_of (label), lv_slice_of (""), ns);
 }
 
+/** struct rnr_confirm - a report under way: when it was sent, with ends or not
+ */
+struct rnr_confirm
+{
+  struct rnr_session *session;
+  uint64_t sent_ns;
+  bool with_ends;
+};
+
 /* runner_entries.c */
 
-/** rnr_tell_entries() - ends to whom they concern, room to those who wait for
- * it or to @all. */
-void rnr_tell_entries (struct rnr_runner *r, bool all);
 /** rnr_tick_sessions() - dial, report, give up; stop what nobody confirms. */
 void rnr_tick_sessions (struct rnr_runner *r, uint64_t now_ns);
+
+/* runner_reports.c */
+
+/** rnr_make_report() - what the entry of @s is told of this agent. */
+lvp_report rnr_make_report (const struct rnr_runner *r,
+                            const struct rnr_session *s, uint64_t now_ns);
+/** rnr_begin_report() - note that a report is sent. Return: for its answer. */
+struct rnr_confirm *rnr_begin_report (struct rnr_session *s, uint64_t now_ns,
+                                      bool with_ends);
+/** rnr_send_report() - report to the entry of @s. */
+void rnr_send_report (struct rnr_session *s);
+/** rnr_send_ends() - send @s the ends that it has not been sent. */
+void rnr_send_ends (struct rnr_session *s);
+/** rnr_unsend_ends() - what @s has not confirmed is to be sent again. */
+void rnr_unsend_ends (struct rnr_session *s);
+/** rnr_tell_entries() - ends to whom they concern, room to one of those who
+ * wait for it, or to @all. */
+void rnr_tell_entries (struct rnr_runner *r, bool all);
 /** rnr_drop_old_ends() - forget outcomes that no entry takes. */
 void rnr_drop_old_ends (struct rnr_runner *r, uint64_t now_ns);
 
+/* runner_known.c */
+
+/** rnr_session_of() - the joined session of this incarnation, or NULL. */
+struct rnr_session *rnr_session_of (const struct rnr_runner *r,
+                                    uint64_t entry);
+/** rnr_learn_entries() - entries are, or were a moment ago, at @entries. */
+void rnr_learn_entries (struct rnr_runner *r, const lvp_endpoints *entries);
+/** rnr_owes() - whether a run or an untaken outcome belongs to @s. */
+bool rnr_owes (const struct rnr_session *s);
+/** rnr_choose_entries() - now and then, which entries are to be served. */
+void rnr_choose_entries (struct rnr_runner *r, uint64_t now_ns);
+
 /* runner_minion.c */
 
 /** rnr_accepting() - whether tasks may be started now. */
--- a/src/spot.c
+++ b/src/spot.c
@@ -54,26 +54,29 @@
   return best;
 }
 
-bool
-spt_awaits (const struct spt_host *hosts, unsigned count,
-            const struct amt_amount *need)
+static bool
+any_holds (const struct spt_host *hosts, unsigned count,
+           const struct amt_amount *need, bool usable)
 {
   unsigned i;
 
   for (i = 0; i < count; i++)
-    if (hosts[i].usable && amt_fits (&hosts[i].total, need))
+    if ((usable ? hosts[i].usable : hosts[i].serves)
+        && amt_fits (&hosts[i].total, need))
       return true;
   return false;
 }
 
+bool
+spt_awaits (const struct spt_host *hosts, unsigned count,
+            const struct amt_amount *need)
+{
+  return any_holds (hosts, count, need, true);
+}
+
 bool
 spt_possible (const struct spt_host *hosts, unsigned count,
               const struct amt_amount *need)
 {
-  unsigned i;
-
-  for (i = 0; i < count; i++)
-    if (hosts[i].serves && amt_fits (&hosts[i].total, need))
-      return true;
-  return false;
+  return any_holds (hosts, count, need, false);
 }
