--- a/src/subset.c
+++ b/src/subset.c
@@ -25,6 +25,8 @@
   unsigned reached = 0;
   unsigned i;
 
+  if (count == 0)
+    return;
   qsort (members, count, sizeof members[0], by_rank);
   for (i = 0; i < count; i++)
     {
