Agents ask each entry for its whole list every five seconds, as meant

Cause: found on rereading. A report was made, with the digest of the list known, before begin_report() decided that the whole list was due and cleared the digest; the answer set it again, so the list came once per connection. An entry that an agent forgot after 20 s cut off from it alone was then not learnt anew from others until the list changed. Ruled out: the same in peers.c, where the digest is chosen before the message is made. When a whole list came last is kept now, and a report asks by its age; what the answers to joins and reports say besides is taken in one place (two copies before).

--- a/src/runner_entries.c
+++ b/src/runner_entries.c
@@ -159,10 +159,9 @@
   s->entry = out.incarnation;
   s->joined = true;
   s->confirmed_ns = sent_ns;
-  s->hungry = out.report.hungry;
   log_line (LOGL_INFO, "entry-joined", "entry=%s incarnation=%llx", s->text,
             (unsigned long long)s->entry);
-  rnr_learn_entries (s->runner, &out.report.entries);
+  rnr_take_answer (s, &out.report);
   WIR_FREE (lvp_join_res, &out);
   rnr_send_ends (s);
 }
--- a/src/runner_known.c
+++ b/src/runner_known.c
@@ -40,13 +40,18 @@
 }
 
 void
-rnr_learn_entries (struct rnr_runner *r, const lvp_endpoints *entries)
+rnr_take_answer (struct rnr_session *s, const lvp_report_res *answer)
 {
+  const lvp_endpoints *entries = &answer->entries;
   uint64_t now = clk_boot ();
   u_int i;
 
+  s->hungry = answer->hungry;
+  s->known = answer->digest;
+  if (entries->lvp_endpoints_len > 0)
+    s->listed_ns = now;
   for (i = 0; i < entries->lvp_endpoints_len; i++)
-    add_session (r, &entries->lvp_endpoints_val[i])->named_ns = now;
+    add_session (s->runner, &entries->lvp_endpoints_val[i])->named_ns = now;
 }
 
 /* Whether a run or an untaken outcome here belongs to the entry of S.  */
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -39,7 +39,7 @@
   bool is_seed;
   bool wanted;
   uint64_t retiring_ns;
-  uint64_t listed_ns; /* when its whole list was asked for last */
+  uint64_t listed_ns; /* when its whole list came last */
   u_quad_t known;
   bool hungry;
   bool told; /* in this turn */
@@ -113,8 +113,9 @@
 /** rnr_session_of() - the joined session of this incarnation, or NULL. */
 struct rnr_session *rnr_session_of (const struct rnr_runner *r,
                                     uint64_t entry);
-/** rnr_learn_entries() - entries are, or were a moment ago, at @entries. */
-void rnr_learn_entries (struct rnr_runner *r, const lvp_endpoints *entries);
+/** rnr_take_answer() - what @s answers to a join or report of itself and of
+ * other entries. */
+void rnr_take_answer (struct rnr_session *s, const lvp_report_res *answer);
 /** rnr_owes() - whether a run or an untaken outcome belongs to @s. */
 bool rnr_owes (const struct rnr_session *s);
 /** rnr_choose_entries() - now and then, which entries are to be served. */
--- a/src/runner_reports.c
+++ b/src/runner_reports.c
@@ -22,7 +22,7 @@
           .synced = r->minion.known && r->book.unknown == 0,
           .accepting = rnr_accepting (r, now_ns) && s->retiring_ns == 0,
           .orders = s->orders,
-          .known = s->known,
+          .known = clk_since (now_ns, s->listed_ns) < RELIST_NS ? s->known : 0,
           .total = wir_amount (&r->book.total),
           .free = wir_amount (&left) };
 
@@ -70,9 +70,7 @@
                      clk_since (clk_boot (), confirm->sent_ns));
       if (confirm->sent_ns > s->confirmed_ns)
         s->confirmed_ns = confirm->sent_ns;
-      s->hungry = out.hungry;
-      s->known = out.digest;
-      rnr_learn_entries (s->runner, &out.entries);
+      rnr_take_answer (s, &out);
       WIR_FREE (lvp_report_res, &out);
       if (confirm->with_ends && --s->ends_under_way == 0)
         forget_ends (s);
@@ -89,11 +87,6 @@
   confirm->session = s;
   confirm->sent_ns = now_ns;
   confirm->with_ends = with_ends;
-  if (clk_since (now_ns, s->listed_ns) >= RELIST_NS)
-    {
-      s->listed_ns = now_ns;
-      s->known = 0;
-    }
   s->reported_ns = now_ns;
   s->told = true;
   return confirm;
