--- a/daemons/entry_main.c
+++ b/daemons/entry_main.c
@@ -3,7 +3,6 @@
  *
  * Thin main of the entry: arguments, settings, signals, loop.
  */
-#include <signal.h>
 #include <stdlib.h>
 #include <talloc.h>
 
@@ -12,17 +11,18 @@
 #include "logline.h"
 
 static void
-on_term (struct tevent_context *ev, struct tevent_signal *se, int number,
-         int count, void *info, void *priv)
+leave (int number, void *priv)
 {
-  (void)ev;
-  (void)se;
   (void)number;
-  (void)count;
-  (void)info;
   ent_leave (priv);
 }
 
+static bool
+done (const void *priv)
+{
+  return ent_done (priv);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -39,10 +39,7 @@
     return dmn_bad_level (settings.log_level);
   if (ent_start (&entry, ev, &settings, &err) != 0)
     return dmn_fail (&err);
-  tevent_add_signal (ev, ev, SIGTERM, 0, on_term, &entry);
-  tevent_add_signal (ev, ev, SIGINT, 0, on_term, &entry);
-  while (!ent_done (&entry))
-    tevent_loop_once (ev);
+  dmn_run (ev, leave, done, &entry);
   ent_finish (&entry);
   log_line (LOGL_INFO, "stopped", "why=left");
   log_flush ();
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -4,6 +4,41 @@
 #include <errno.h>
 #include <signal.h>
 #include <stdio.h>
+#include <talloc.h>
+
+/* Whom a signal concerns.  */
+struct leaver
+{
+  void (*leave) (int number, void *priv);
+  void *priv;
+};
+
+static void
+on_signal (struct tevent_context *ev, struct tevent_signal *se, int number,
+           int count, void *info, void *priv)
+{
+  const struct leaver *l = priv;
+
+  (void)ev;
+  (void)se;
+  (void)count;
+  (void)info;
+  l->leave (number, l->priv);
+}
+
+void
+dmn_run (struct tevent_context *ev, void (*leave) (int number, void *priv),
+         bool (*done) (const void *priv), void *priv)
+{
+  struct leaver *l = talloc_zero (ev, struct leaver);
+
+  l->leave = leave;
+  l->priv = priv;
+  tevent_add_signal (ev, l, SIGTERM, 0, on_signal, l);
+  tevent_add_signal (ev, l, SIGINT, 0, on_signal, l);
+  while (!done (priv))
+    tevent_loop_once (ev);
+}
 
 int
 dmn_fail (const struct err_error *err)
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -6,6 +6,8 @@
 #ifndef LV_DAEMON_H
 #define LV_DAEMON_H
 
+#include <tevent.h>
+
 #include "error.h"
 #include "settings.h"
 
@@ -30,6 +32,14 @@
 int dmn_settings (int argc, char **argv, const char *program, void *mem_ctx,
                   const struct set_key *keys, void *out);
 
+/**
+ * dmn_run() - turn the loop until @done
+ * @leave: called at each SIGTERM and SIGINT, with its number
+ */
+void dmn_run (struct tevent_context *ev,
+              void (*leave) (int number, void *priv),
+              bool (*done) (const void *priv), void *priv);
+
 /** dmn_fail() - print an error. Return: the exit code. */
 int dmn_fail (const struct err_error *err);
 
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -156,7 +156,7 @@
   d->logged_ns = now_ns;
   DL_FOREACH (d->fleet.agents, a)
   {
-    if (a->conn == NULL || !a->accepting)
+    if (!flt_is_open (a))
       continue;
     open++;
     amt_add (&total, &a->total);
@@ -180,7 +180,7 @@
   unsigned n = 0;
 
   DL_FOREACH (d->fleet.agents, a)
-  n += a->conn != NULL && a->accepting;
+  n += flt_is_open (a);
   return n;
 }
 
@@ -302,7 +302,7 @@
   if (d->leaving || d->config == NULL)
     return false;
   DL_FOREACH (d->fleet.agents, a)
-  if (a->conn != NULL && a->accepting)
+  if (flt_is_open (a))
     return true;
   return clk_since (clk_boot (), d->started_ns) < DSP_START_NS;
 }
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -205,7 +205,7 @@
   struct spt_host h = { 0 };
 
   h.serves = lv_slice_eq (lv_slice_of (a->service), service);
-  h.usable = h.serves && a->conn != NULL && a->synced && a->accepting
+  h.usable = h.serves && flt_is_open (a) && a->synced
              && chn_fresh (a->heard_ns, now_ns)
              && hlt_usable (&a->health, now_ns);
   h.near = strcmp (a->domain, domain) == 0;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -121,6 +121,13 @@
 void flt_observe (struct flt_agent *agent, struct lv_slice queue, bool ok,
                   uint32_t ran_ms, uint32_t estimate_ms, uint64_t now_ns);
 
+/** flt_is_open() - whether @agent is joined and takes orders. */
+static inline bool
+flt_is_open (const struct flt_agent *agent)
+{
+  return agent->conn != NULL && agent->accepting;
+}
+
 /** flt_host() - @agent as a place for tasks of @service. */
 struct spt_host flt_host (const struct flt_agent *agent,
                           struct lv_slice service, const char *domain,
--- a/src/story.c
+++ b/src/story.c
@@ -151,6 +151,20 @@
   return NULL;
 }
 
+/* The line that ends the request for its caller, or NULL.  */
+static struct sty_line *
+find_answer (const struct sty_story *s)
+{
+  static const char *const events[]
+      = { "job-end", "job-withdrawn", "job-refused", "request-refused" };
+  struct sty_line *l = NULL;
+  size_t i;
+
+  for (i = 0; i < sizeof events / sizeof events[0] && l == NULL; i++)
+    l = find_event (s, events[i]);
+  return l;
+}
+
 static struct sty_line *
 find_named (const struct sty_story *s, bool entry)
 {
@@ -264,17 +278,11 @@
 {
   char *out = talloc_strdup (s->mem_ctx, "");
   struct sty_line *arrival = find_event (s, "job");
-  struct sty_line *answer = find_event (s, "job-end");
+  struct sty_line *answer = find_answer (s);
   const struct sty_line *first;
   const struct sty_line *last;
   struct sty_line *l;
 
-  if (answer == NULL)
-    answer = find_event (s, "job-withdrawn");
-  if (answer == NULL)
-    answer = find_event (s, "job-refused");
-  if (answer == NULL)
-    answer = find_event (s, "request-refused");
   if (arrival == NULL)
     arrival = find_named (s, true);
   if (arrival != NULL)
