--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -16,6 +16,8 @@
                              connections are not affected
      "freeze_way": "in"|"out"|"both"   direction to freeze, default "both"
      "thaw": true            resume forwarding on frozen connections
+     "link": NAME, "rate": N routes with the same NAME share N bytes/s in each
+                             direction, in order of arrival; 0: no limit
 GET  /stats -> per route: open, frozen, bytes
 """
 import argparse
@@ -26,6 +28,27 @@
 import httpd
 
 
+# Bytes that a limited link forwards at a time; a round-robin of the connections.
+CHUNK = 8192
+# Pairs of links, one for each direction, by name.
+LINKS = {}
+
+
+class Link:
+    """Bandwidth shared by the connections of some routes, in one direction."""
+
+    def __init__(self, rate):
+        self.rate = rate
+        self.free_at = 0.0
+
+    async def transmit(self, size):
+        if self.rate == 0:
+            return
+        now = asyncio.get_running_loop().time()
+        self.free_at = max(self.free_at, now) + size / self.rate
+        await asyncio.sleep(self.free_at - now)
+
+
 class Connection:
     def __init__(self, route, source):
         self.route = route
@@ -44,6 +67,7 @@
     def __init__(self, name, listen, target):
         self.name, self.listen, self.target = name, listen, target
         self.delay = 0.0
+        self.links = {}
         self.cut = None  # source address to refuse, "" for all, or None
         self.drop = ""
         self.drop_from = ""
@@ -112,11 +136,20 @@
                 continue
             self.bytes += len(data)
             try:
-                writer.write(data)
-                await writer.drain()
+                await self.write(direction, data, writer)
             except OSError:
                 pass
 
+    async def write(self, direction, data, writer):
+        link = self.links.get(direction)
+        size = CHUNK if link else len(data)
+        for at in range(0, len(data), size):
+            chunk = data[at:at + size]
+            if link:
+                await link.transmit(len(chunk))
+            writer.write(chunk)
+            await writer.drain()
+
     def apply_fault(self, fault):
         source = fault.get("from", "")
         chosen = [x for x in self.connections if source in ("", x.source)]
@@ -151,6 +184,15 @@
             conn.frozen |= directions
 
 
+def set_rate(name, rate, chosen):
+    """Adds the chosen routes to the link NAME, and sets its rate."""
+    pair = LINKS.setdefault(name, {"in": Link(rate), "out": Link(rate)})
+    for link in pair.values():
+        link.rate = rate
+    for route in chosen:
+        route.links = pair if rate else {}
+
+
 async def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--control", required=True)
@@ -176,6 +218,8 @@
             return 404, {"error": "no such route"}
         for route in chosen:
             route.apply_fault(fault)
+        if "rate" in fault:
+            set_rate(fault["link"], fault["rate"], chosen)
         return 200, {"changed": [r.name for r in chosen]}
 
     await httpd.Server(handle).serve(args.control)
--- a/standins/httpd.py
+++ b/standins/httpd.py
@@ -11,21 +11,34 @@
 class Server:
     def __init__(self, handler):
         self.handler = handler
+        self.writers, self.outage, self.outage_s = set(), asyncio.Event(), 0
 
     async def serve(self, address):
         host, port = address.rsplit(":", 1)
-        server = await asyncio.start_server(
-            self.serve_connection, host, int(port), backlog=512)
-        async with server:
-            await server.serve_forever()
+        while True:
+            server = await asyncio.start_server(
+                self.serve_connection, host, int(port), backlog=512)
+            async with server:
+                await self.outage.wait()
+            for writer in self.writers:
+                writer.transport.abort()
+            await asyncio.sleep(self.outage_s)
+            self.outage.clear()
+
+    def close_for(self, seconds):
+        """Resets all connections and refuses new ones for some time."""
+        self.outage_s = seconds
+        self.outage.set()
 
     async def serve_connection(self, reader, writer):
+        self.writers.add(writer)
         try:
             while await self.serve_request(reader, writer):
                 pass
         except (ConnectionError, asyncio.IncompleteReadError, Drop):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def serve_request(self, reader, writer):
--- a/standins/platform_minion.py
+++ b/standins/platform_minion.py
@@ -5,12 +5,22 @@
 
 Reports to AGENT.  Like the platform's minions it executes every start, whether
 or not there is capacity.  It appends each start and end to LOG, as one JSON
-object a line with the capacity then in use; the tests check that record.  A
-task's spec is JSON: run_ms, mcores, and fail if the task is to fail.
+object a line with the capacity then in use, each change of its capacity and of
+its lease, and when its report that it is leaving was acknowledged; the tests
+check that record.
+A run ends with its lease also if this process was stalled then: the record has
+the time of the expiry, and nothing that arrived meanwhile extends the lease.  A task's spec is JSON:
+run_ms, mcores, fail if the task is to fail, crash_ms if the minion is to crash
+after so much of its work.  A crashed minion is down for CRASH_S and then runs
+nothing and remembers nothing.
 
 POST /test/mode sets by query: share (of orders that are executed but not
 answered), late_s (delay after which these are executed), hang=1 (runs make no
-progress), busy=1 (starts get 503), state=draining.
+progress), busy=1 (starts get 503), state=draining, mcores (its capacity from
+now on), refuse=1 (while crashed it refuses connections; otherwise it is
+silent), mute=1 (no reports), interval_s (time between reports), back_s (its
+clock goes back so far as it crashes), malformed=N (polls get the Nth of
+MALFORMED instead of the lists of runs).
 """
 import asyncio
 import json
@@ -21,9 +31,16 @@
 
 from httpd import Drop, Server
 
-REPORT_INTERVAL_S = 0.5
 LEASE_MAX_MS = 1000
 TICK_S = 0.005
+CRASH_S = 3.3
+
+
+MALFORMED = [
+    {"running": [5], "finished": []}, {"running": [["x"]], "finished": []},
+    {"running": [[None, 1, "", 5]], "finished": []}, {"finished": []},
+    {"running": [], "finished": [7]}, {"running": [], "finished": [[1]]},
+    {"running": {}, "finished": []}, {"running": []}, {}]
 
 
 class Run:
@@ -32,6 +49,7 @@
         self.run_s = spec.get("run_ms", 50) / 1000
         self.mcores = spec.get("mcores", 1000)
         self.fail = spec.get("fail", False)
+        self.crash_s = spec.get("crash_ms", float("inf")) / 1000
         self.worked_s, self.updated = 0.0, now
 
 
@@ -39,55 +57,94 @@
     def __init__(self, address, agent, service, mcores, log):
         self.address, self.agent, self.service = address, agent, service
         self.mcores, self.log = mcores, open(log, "a", buffering=1)
+        self.mode = {"share": 0.0, "late_s": 0.0, "hang": 0, "busy": 0,
+                     "refuse": 0, "mute": 0, "back_s": 0.0, "interval_s": 0.5,
+                     "malformed": 0}
+        self.state, self.acknowledged = "ready", False
+        self.ended, self.down = asyncio.Condition(), False
+        self.server = Server(self.handle)
+        self.begin_life()
+        self.record_room()
+
+    def begin_life(self):
         self.started = time.monotonic()
-        self.born = int(time.time() * 1000)
+        self.born = int((time.time() - self.mode["back_s"]) * 1000)
         self.runs, self.ends, self.barred = {}, [], {}
         self.token, self.expires, self.end_number, self.seq = 0, 0, 0, 0
-        self.mode = {"share": 0.0, "late_s": 0.0, "hang": 0, "busy": 0}
-        self.state, self.acknowledged = "ready", False
-        self.ended = asyncio.Condition()
+
+    async def crash(self):
+        self.down = True
+        self.log.write(json.dumps({"what": "gone", "at": time.monotonic(),
+                                   "crashed": list(self.runs)}) + "\n")
+        self.runs = {}
+        if self.mode["refuse"]:
+            self.server.close_for(CRASH_S)
+        await asyncio.sleep(CRASH_S)
+        self.begin_life()
+        self.down = False
+
+    def record_room(self):
+        self.log.write(json.dumps({"what": "room", "room": self.mcores,
+                                   "at": time.monotonic()}) + "\n")
 
     def clock_ms(self):
         return int((time.monotonic() - self.started) * 1000) + 1
 
-    def record(self, what, run, **more):
+    def record(self, what, run, at, **more):
         used = sum(r.mcores for r in self.runs.values())
         self.log.write(json.dumps(dict(
             more, what=what, task=run.task, attempt=run.attempt,
-            at=time.monotonic(), used=used, room=self.mcores,
+            at=at, used=used, room=self.mcores,
             acknowledged=self.acknowledged)) + "\n")
 
-    def end(self, run, how):
+    def end(self, run, how, at):
         del self.runs[run.task]
         self.end_number += 1
         self.ends.append([self.end_number, run.task, run.attempt, how, ""])
         self.bar(run.task, run.attempt)
-        self.record("end", run, how=how)
+        self.record("end", run, at, how=how)
 
     def bar(self, task, attempt):
         self.barred[task] = max(attempt, self.barred.get(task, 0))
 
     async def advance_runs(self):
+        told = 0
         while True:
             await asyncio.sleep(TICK_S)
-            now, before = time.monotonic(), self.end_number
-            if self.clock_ms() > self.expires:
-                for run in list(self.runs.values()):
-                    self.end(run, "lapsed")
-            for run in list(self.runs.values()):
-                if not self.mode["hang"]:
-                    run.worked_s += now - run.updated
-                run.updated = now
-                if run.worked_s >= run.run_s:
-                    self.end(run, "failed" if run.fail else "done")
-            if self.end_number != before:
+            if self.advance():
+                await self.crash()
+            if self.end_number != told:
+                told = self.end_number
                 async with self.ended:
                     self.ended.notify_all()
 
+    def advance(self):
+        """Works on the runs until now, or until their lease has expired.  Returns
+        True if one of them crashes the minion."""
+        now = time.monotonic()
+        expired = self.clock_ms() > self.expires
+        until = min(now, self.started + self.expires / 1000) if expired else now
+        for run in list(self.runs.values()):
+            if not self.mode["hang"]:
+                run.worked_s += max(0, until - run.updated)
+            run.updated = max(until, run.updated)
+            if run.worked_s >= run.crash_s:
+                return True
+            if run.worked_s >= run.run_s:
+                self.end(run, "failed" if run.fail else "done", run.updated)
+            elif expired:
+                self.end(run, "lapsed", run.updated)
+        return False
+
     def extend_lease(self, body):
         wanted = int(body.get("expires_at_ms", 0))
         wanted = min(wanted, self.clock_ms() + LEASE_MAX_MS)
-        self.expires = max(self.expires, wanted)
+        if wanted <= self.expires:
+            return
+        self.expires = wanted
+        self.log.write(json.dumps({
+            "what": "lease", "at": time.monotonic(),
+            "until": self.started + wanted / 1000}) + "\n")
 
     def reply(self, status, **more):
         return status, dict(more, clock_ms=self.clock_ms(), born=self.born)
@@ -103,14 +160,14 @@
             run = Run(task, attempt, json.loads(body["spec"]),
                       time.monotonic())
             self.runs[task] = run
-            self.record("start", run)
+            self.record("start", run, run.updated)
         return self.reply(200)
 
     def stop(self, body):
         run = self.runs.get(body["task"])
         self.bar(body["task"], body["attempt"])
         if run is not None and run.attempt <= body["attempt"]:
-            self.end(run, "stopped")
+            self.end(run, "stopped", time.monotonic())
         return self.reply(200)
 
     async def poll(self, body):
@@ -125,6 +182,8 @@
                         int(body.get("wait_ms", 0)) / 1000)
                 except asyncio.TimeoutError:
                     pass
+        if self.mode["malformed"]:
+            return self.reply(200, **MALFORMED[int(self.mode["malformed"]) - 1])
         rows = [[r.task, r.attempt, "", int(100 * r.worked_s / r.run_s)]
                 for r in self.runs.values()]
         return self.reply(200, running=rows, finished=self.ends[:500])
@@ -133,6 +192,9 @@
         if int(body["fencing_token"]) < self.token:
             return self.reply(409, reason="fence")
         self.token = int(body["fencing_token"])
+        if self.advance():
+            await self.crash()
+            raise Drop()
         if path == "/hold":
             return await self.poll(body)
         if path == "/run-stop":
@@ -148,6 +210,8 @@
     async def handle(self, method, path, args, body):
         if path == "/test/mode":
             self.state = args.pop("state", self.state)
+            self.mcores = int(args.pop("mcores", self.mcores))
+            self.record_room()
             self.mode.update({k: float(v) for k, v in args.items()})
             return 200, {}
         if path not in ("/hold", "/run-start", "/run-stop"):
@@ -158,7 +222,14 @@
                 self.execute_unanswered(path, body))
             await asyncio.sleep(1)
             raise Drop()
-        return await self.order(path, body)
+        answer = None
+        if not self.down:
+            life = self.born
+            answer = await self.order(path, body)
+        if self.down or life != self.born:
+            await asyncio.sleep(CRASH_S)
+            raise Drop()
+        return answer
 
     def report(self):
         self.seq += 1
@@ -175,20 +246,23 @@
             urllib.request.urlopen(request, timeout=1).read()
         except OSError:
             return  # the agent may be down; the next report follows
-        if body["state"] == "draining":
+        if body["state"] == "draining" and not self.acknowledged:
             self.acknowledged = True
+            self.log.write(json.dumps({"what": "acknowledged",
+                                       "at": time.monotonic()}) + "\n")
 
     async def send_reports(self):
         loop = asyncio.get_running_loop()
         while True:
-            await loop.run_in_executor(None, self.report)
-            await asyncio.sleep(REPORT_INTERVAL_S)
+            if not self.down and not self.mode["mute"]:
+                await loop.run_in_executor(None, self.report)
+            await asyncio.sleep(self.mode["interval_s"])
 
 
 async def main():
     address, agent, service, mcores, log = sys.argv[1:]
     minion = Minion(address, agent, service, int(mcores), log)
-    await asyncio.gather(Server(minion.handle).serve(address),
+    await asyncio.gather(minion.server.serve(address),
                          minion.advance_runs(), minion.send_reports())
 
 
--- a/tools/platform_cluster.py
+++ b/tools/platform_cluster.py
@@ -14,6 +14,10 @@
 HOST = "jobs.example"
 RESEND_S = 1.3
 LEASE_MAX_S = 1.0
+# A capacity that has shrunk binds so long after the change.
+SHRUNK_S = 4.5
+# After so many crashes under a task, it is started less than so often.
+CRASHES_MAX = 3
 
 
 def queue(name, prefix, priority=0, service=SERVICE, attempts=3):
@@ -29,8 +33,11 @@
             "limits": {"max_body_bytes": 262144, "idle_timeout_ms": 15000}}
 
 
-def job(count=1, run_ms=50, mcores=1000, fail=False, **more):
-    spec = json.dumps({"run_ms": run_ms, "mcores": mcores, "fail": fail})
+def job(count=1, run_ms=50, mcores=1000, fail=False, crash_ms=None, **more):
+    spec = {"run_ms": run_ms, "mcores": mcores, "fail": fail}
+    if crash_ms is not None:
+        spec["crash_ms"] = crash_ms
+    spec = json.dumps(spec)
     return dict({"spec": spec, "best_effort": True,
                  "steps": [{"count": count, "cpu": mcores, "mem_mb": 64,
                             "estimate_ms": run_ms}]}, **more)
@@ -41,7 +48,7 @@
                  proxy=False, seeds=None, agent=None):
         self.agent_settings = agent or {}
         self.dir = tempfile.mkdtemp(prefix="lagoonvale-")
-        ports = iter(free_ports(2 + 5 * entries + 4 * agents))
+        ports = iter(free_ports(2 + 6 * entries + 4 * agents))
         self.proxy, self.routes = None, {}
         if proxy:
             self.reserve_proxy_addresses(entries, agents, ports)
@@ -81,8 +88,10 @@
         return p
 
     def reserve_proxy_addresses(self, entries, agents, ports):
-        """Reserves a proxy address for each entry's RPC and each minion."""
+        """Reserves a proxy address for each entry's RPC, each minion, and the
+        store as each entry reaches it."""
         for name in (["entry-%d" % i for i in range(entries)]
+                     + ["store-%d" % i for i in range(entries)]
                      + ["minion-%d" % i for i in range(agents)]):
             self.routes[name] = "127.0.0.1:%d" % next(ports)
         self.control = "127.0.0.1:%d" % next(ports)
@@ -90,6 +99,8 @@
     def start_proxy(self):
         targets = dict([("entry-%d" % i, a["rpc"])
                         for i, a in enumerate(self.addresses)]
+                       + [("store-%d" % i, self.store.address)
+                          for i in range(len(self.addresses))]
                        + [(m.name, m.address) for m in self.minions])
         argv = [sys.executable,
                 os.path.join(ROOT, "standins", "fault_proxy.py"),
@@ -105,6 +116,12 @@
                          dict(what, route=route))
         assert status == 200
 
+    def limit_links(self, rate):
+        """Limits the link of each entry to RATE bytes/s in each direction."""
+        for i in range(len(self.entries)):
+            for route in ("entry-%d" % i, "store-%d" % i):
+                self.set_fault(route, link="link-%d" % i, rate=rate)
+
     def write_settings(self, name, values):
         path = os.path.join(self.dir, name + ".json")
         with open(path + ".new", "w") as f:
@@ -117,7 +134,8 @@
         if name in self.routes:
             more = dict(more, advertise=self.routes[name])
         path = self.write_settings(name, dict({
-            "domain": "d%d" % i, "store": self.store.address},
+            "domain": "d%d" % i,
+            "store": self.routes.get("store-%d" % i, self.store.address)},
             **self.addresses[i], **more))
         argv = [os.path.join(BUILD, "lagoonvale-dispatcher"), path]
         return self.add_process(name, argv, self.addresses[i]["jobs"],
@@ -176,6 +194,11 @@
 
     def events(self):
         """Starts and ends recorded by all minions, ordered by time."""
+        return [e for e in self.records() if e["what"] not in ("room", "lease")]
+
+    def records(self):
+        """All that the minions have recorded, also changes of their capacity and
+        of their leases, ordered by time."""
         out = []
         for i in range(len(self.minions)):
             path = os.path.join(self.dir, "minion-%d.runs" % i)
@@ -188,25 +211,55 @@
     def rule_violations(self):
         """Events that the platform's rules forbid: a task that runs twice at a
         time, use beyond capacity, a start at a minion whose report that it is
-        leaving was acknowledged."""
-        violations, running = [], {}
-        for e in self.events():
+        leaving was acknowledged, repeated starts of a task under which
+        CRASHES_MAX minions have crashed."""
+        violations, running, crashes, rooms = [], {}, {}, {}
+        started, leases = {}, {}
+        for e in self.records():
+            if e["what"] == "acknowledged":
+                continue
+            if e["what"] == "room":
+                rooms.setdefault(e["minion"], []).append((e["at"], e["room"]))
+                continue
+            # A lease that has expired has ended the runs under it.
+            running = {k: v for k, v in running.items()
+                       if leases.get(k[1], 0) >= e["at"]}
+            if e["what"] == "lease":
+                leases[e["minion"]] = e["until"]
+                continue
             if e["what"] == "end":
                 running.pop((e["task"], e["minion"]), None)
                 continue
             if e["what"] == "gone":
                 running = {k: v for k, v in running.items()
                            if k[1] != e["minion"]}
+                for task in e.get("crashed", []):
+                    crashes[task] = crashes.get(task, 0) + 1
                 continue
             if any(task == e["task"] for task, _ in running):
                 violations.append(("twice", e))
             running[(e["task"], e["minion"])] = e
-            if e["used"] > e["room"]:
+            if e["used"] > self.binding_capacity(rooms, e):
                 violations.append(("room", e))
             if e["acknowledged"]:
                 violations.append(("leaving", e))
+            if crashes.get(e["task"], 0) >= CRASHES_MAX:
+                started[e["task"]] = started.get(e["task"], 0) + 1
+                if started[e["task"]] >= CRASHES_MAX:
+                    violations.append(("crashes", e))
         return violations
 
+    @staticmethod
+    def binding_capacity(rooms, start):
+        """The largest capacity of the last SHRUNK_S, since ROOMS holds all
+        changes by minion."""
+        changes = rooms[start["minion"]]
+        since = start["at"] - SHRUNK_S
+        # A capacity was in force until the next change.
+        ends = [at for at, _ in changes[1:]] + [float("inf")]
+        return max(room for (_, room), end in zip(changes, ends)
+                   if end >= since)
+
     def kill_minion(self, i):
         """Kills minion i, which ends its runs."""
         self.minions[i].kill()
