--- a/src/jsonx.c
+++ b/src/jsonx.c
@@ -1,7 +1,12 @@
 #include "jsonx.h"
 
+#include <errno.h>
+#include <limits.h>
+
 #include "lagoonvale/name.h"
 
+#define NS_PER_MS 1000000ULL
+
 struct json_object *
 jsx_parse_verbose (struct lv_slice text, const char **why, size_t *at)
 {
@@ -38,6 +43,100 @@
   return jsx_parse_verbose (text, &why, &at);
 }
 
+int
+jsx_reader_init (struct jsx_reader *r, struct lv_slice text)
+{
+  r->tokener = json_tokener_new_ex (JSX_DEPTH_MAX);
+  r->rest = text;
+  r->first = true;
+  return r->tokener != NULL ? 0 : -ENOMEM;
+}
+
+void
+jsx_reader_finish (struct jsx_reader *r)
+{
+  json_tokener_free (r->tokener);
+}
+
+static void
+skip (struct jsx_reader *r, size_t len)
+{
+  r->rest.data += len;
+  r->rest.len -= len;
+}
+
+static void
+skip_space (struct jsx_reader *r)
+{
+  while (r->rest.len > 0 && *r->rest.data != '\0'
+         && strchr (" \t\r\n", *r->rest.data) != NULL)
+    skip (r, 1);
+}
+
+/* Read the character C if it comes next.  */
+static bool
+accept (struct jsx_reader *r, char c)
+{
+  skip_space (r);
+  if (r->rest.len == 0 || *r->rest.data != c)
+    return false;
+  skip (r, 1);
+  return true;
+}
+
+bool
+jsx_enter (struct jsx_reader *r, char bracket)
+{
+  r->first = true;
+  return accept (r, bracket);
+}
+
+int
+jsx_next (struct jsx_reader *r, char bracket)
+{
+  bool first = r->first;
+
+  r->first = false;
+  if (accept (r, bracket))
+    return 0;
+  return first || accept (r, ',') ? 1 : -EBADMSG;
+}
+
+int
+jsx_read_value (struct jsx_reader *r, struct json_object **value)
+{
+  int len;
+
+  skip_space (r);
+  len = r->rest.len < INT_MAX ? (int)r->rest.len : INT_MAX;
+  json_tokener_reset (r->tokener);
+  *value = json_tokener_parse_ex (r->tokener, r->rest.data, len);
+  if (json_tokener_get_error (r->tokener) != json_tokener_success)
+    return -EBADMSG;
+  skip (r, json_tokener_get_parse_end (r->tokener));
+  return 0;
+}
+
+struct json_object *
+jsx_read_name (struct jsx_reader *r)
+{
+  struct json_object *name;
+
+  if (jsx_read_value (r, &name) != 0)
+    return NULL;
+  if (json_object_is_type (name, json_type_string) && accept (r, ':'))
+    return name;
+  json_object_put (name);
+  return NULL;
+}
+
+bool
+jsx_at_end (struct jsx_reader *r)
+{
+  skip_space (r);
+  return r->rest.len == 0;
+}
+
 const char *
 jsx_string (struct json_object *object, const char *name, const char *fallback)
 {
@@ -111,6 +210,28 @@
   return jsx_to_u32 ((int64_t)value);
 }
 
+bool
+jsx_get_u32 (struct json_object *object, const char *name, uint32_t *value)
+{
+  uint64_t n = jsx_uint (object, name, UINT64_MAX);
+
+  if (n > UINT32_MAX)
+    return false;
+  *value = (uint32_t)n;
+  return true;
+}
+
+bool
+jsx_get_ms (struct json_object *object, const char *name, uint64_t *ns)
+{
+  uint64_t ms = jsx_uint (object, name, UINT64_MAX);
+
+  if (ms > JSX_DURATION_MAX_MS)
+    return false;
+  *ns = ms * NS_PER_MS;
+  return true;
+}
+
 void
 jsx_add (struct json_object *object, const char *name,
          struct json_object *value)
--- a/src/jsonx.h
+++ b/src/jsonx.h
@@ -7,6 +7,7 @@
 #define LV_JSONX_H
 
 #include <json-c/json.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "lagoonvale/slice.h"
@@ -25,6 +26,49 @@
 struct json_object *jsx_parse_verbose (struct lv_slice text, const char **why,
                                        size_t *at);
 
+/**
+ * struct jsx_reader - reads an object or an array value by value, so that a
+ * large one is never in memory as a whole; caller-owned
+ * @rest: text that has not been read
+ * @first: no value has been read
+ */
+struct jsx_reader
+{
+  struct json_tokener *tokener;
+  struct lv_slice rest;
+  bool first;
+};
+
+/** jsx_reader_init() - initialize for @text, which is borrowed.  Return: 0 or
+ * -ENOMEM. */
+int jsx_reader_init (struct jsx_reader *r, struct lv_slice text);
+
+/** jsx_reader_finish() - free what the reader has allocated. */
+void jsx_reader_finish (struct jsx_reader *r);
+
+/** jsx_enter() - begin to read an object ('{') or an array ('[').  Return:
+ * false if @bracket is not what comes next. */
+bool jsx_enter (struct jsx_reader *r, char bracket);
+
+/** jsx_next() - whether another member or element follows: 1, 0 at the end,
+ * which is @bracket ('}' or ']') and is read, or -EBADMSG. */
+int jsx_next (struct jsx_reader *r, char bracket);
+
+/** jsx_read_name() - read the name of a member and the colon.  Return: a
+ * string to be put, or NULL. */
+struct json_object *jsx_read_name (struct jsx_reader *r);
+
+/**
+ * jsx_read_value() - read one value
+ * @value: set to the value, to be put; NULL is a JSON null
+ *
+ * Return: 0 or -EBADMSG.
+ */
+int jsx_read_value (struct jsx_reader *r, struct json_object **value);
+
+/** jsx_at_end() - whether nothing but white space is left. */
+bool jsx_at_end (struct jsx_reader *r);
+
 /** jsx_is_name() - whether @value is a string that is a valid name. */
 bool jsx_is_name (struct json_object *value);
 
@@ -46,6 +90,19 @@
 uint32_t jsx_u32 (struct json_object *object, const char *name,
                   uint32_t fallback);
 
+/** jsx_get_u32() - read member @name into @value. Return: false, and no
+ * change, unless it is a whole number of 32 bits. */
+bool jsx_get_u32 (struct json_object *object, const char *name,
+                  uint32_t *value);
+
+/** Longest duration that is read, ms. */
+#define JSX_DURATION_MAX_MS 1000000000000ULL
+
+/** jsx_get_ms() - read member @name, milliseconds, into @ns. Return: false,
+ * and no change, unless it is a whole number of at most JSX_DURATION_MAX_MS.
+ */
+bool jsx_get_ms (struct json_object *object, const char *name, uint64_t *ns);
+
 /** jsx_to_u32() - @value in 32 bits: 0 if negative, at most UINT32_MAX. */
 uint32_t jsx_to_u32 (int64_t value);
 
--- a/src/settings.c
+++ b/src/settings.c
@@ -175,26 +175,33 @@
   return 0;
 }
 
+/* Read the file PATH into TEXT of FILE_MAX_BYTES, with a final NUL.  */
 static int
-parse_file (const char *path, struct json_object **root, struct err_error *err)
+read_file (const char *path, char *text, struct err_error *err)
 {
-  char text[FILE_MAX_BYTES];
-  struct json_tokener *tokener;
   FILE *file = fopen (path, "re");
   size_t len;
-  unsigned line = 1;
 
   if (file == NULL)
     return err_set (err, -errno, "settings", path, "cannot open: %s",
                     strerror (errno));
-  len = fread (text, 1, sizeof text - 1, file);
+  len = fread (text, 1, FILE_MAX_BYTES - 1, file);
   fclose (file);
   text[len] = '\0';
-  if (len == sizeof text - 1)
+  if (len == FILE_MAX_BYTES - 1)
     return err_set (err, -E2BIG, "settings", path,
                     "larger than %d bytes, expected less", FILE_MAX_BYTES);
-  tokener = json_tokener_new ();
-  *root = json_tokener_parse_ex (tokener, text, (int)len + 1);
+  return 0;
+}
+
+static int
+parse_object (const char *path, const char *text, struct json_object **root,
+              struct err_error *err)
+{
+  struct json_tokener *tokener = json_tokener_new ();
+  unsigned line = 1;
+
+  *root = json_tokener_parse_ex (tokener, text, (int)strlen (text) + 1);
   if (json_object_is_type (*root, json_type_object))
     {
       json_tokener_free (tokener);
@@ -214,11 +221,11 @@
 }
 
 int
-set_load (void *mem_ctx, const struct set_key *keys, void *out,
-          const char *path, struct err_error *err)
+set_parse (void *mem_ctx, const struct set_key *keys, void *out,
+           const char *path, const char *text, struct err_error *err)
 {
   struct json_object *root = NULL;
-  int rc = parse_file (path, &root, err);
+  int rc = parse_object (path, text, &root, err);
 
   if (rc != 0)
     return rc;
@@ -239,6 +246,16 @@
   return rc;
 }
 
+int
+set_load (void *mem_ctx, const struct set_key *keys, void *out,
+          const char *path, struct err_error *err)
+{
+  char text[FILE_MAX_BYTES] = "";
+  int rc = read_file (path, text, err);
+
+  return rc != 0 ? rc : set_parse (mem_ctx, keys, out, path, text, err);
+}
+
 void
 set_print_keys (const struct set_key *keys)
 {
--- a/src/settings.h
+++ b/src/settings.h
@@ -66,6 +66,11 @@
 int set_load (void *mem_ctx, const struct set_key *keys, void *out,
               const char *path, struct err_error *err);
 
+/** set_parse() - validate settings as set_load() does, from @text; @path is
+ * named in errors only. */
+int set_parse (void *mem_ctx, const struct set_key *keys, void *out,
+               const char *path, const char *text, struct err_error *err);
+
 /** set_print_keys() - print the table of keys to standard output. */
 void set_print_keys (const struct set_key *keys);
 
--- a/tests/unit/jsonx_test.cc
+++ b/tests/unit/jsonx_test.cc
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <gtest/gtest.h>
 #include <string>
 extern "C"
@@ -40,4 +41,97 @@
   EXPECT_EQ (jsx_to_u32 (UINT32_MAX), UINT32_MAX);
   EXPECT_EQ (jsx_to_u32 (1LL << 32), UINT32_MAX);
 }
+
+// Guards against a value that cannot be read being taken as zero or cut.
+TEST (Jsonx, ValuesOutOfRangeAreToldApartFromZero)
+{
+  const struct
+  {
+    const char *text;
+    bool is_u32;
+    bool is_ms;
+  } cases[] = {
+    { "{\"n\":0}", true, true },
+    { "{\"n\":4294967295}", true, true },
+    { "{\"n\":4294967296}", false, true },
+    { "{\"n\":1000000000000}", false, true },
+    { "{\"n\":1000000000001}", false, false },
+    { "{\"n\":99999999999999999999}", false, false },
+    { "{\"n\":-1}", false, false },
+    { "{\"n\":\"5\"}", false, false },
+    { "{\"n\":1.5}", false, false },
+    { "{}", false, false },
+    { "5", false, false },
+  };
+  for (const auto &c : cases)
+    {
+      struct json_object *json = jsx_parse (lv_slice_of (c.text));
+      uint32_t value = 7;
+      uint64_t ns = 7;
+
+      EXPECT_EQ (jsx_get_u32 (json, "n", &value), c.is_u32) << c.text;
+      EXPECT_EQ (jsx_get_ms (json, "n", &ns), c.is_ms) << c.text;
+      EXPECT_TRUE (c.is_u32 || value == 7) << c.text;
+      EXPECT_TRUE (c.is_ms || ns == 7) << c.text;
+      json_object_put (json);
+    }
+}
+
+/* Reads TEXT as an object whose member "n" is an array: the elements' texts,
+   each followed by a semicolon, or "bad".  */
+std::string
+read_all (const char *text)
+{
+  struct jsx_reader r;
+  std::string out;
+  int rc = -EBADMSG;
+  EXPECT_EQ (jsx_reader_init (&r, lv_slice_of (text)), 0);
+  struct json_object *value = nullptr;
+  bool open = jsx_enter (&r, '{') && jsx_next (&r, '}') == 1;
+  struct json_object *name = open ? jsx_read_name (&r) : nullptr;
+  if (name != nullptr && jsx_enter (&r, '['))
+    while ((rc = jsx_next (&r, ']')) > 0)
+      {
+        if ((rc = jsx_read_value (&r, &value)) != 0)
+          break;
+        out += std::string (json_object_to_json_string (value)) + ";";
+        json_object_put (value);
+      }
+  if (rc == 0)
+    rc = jsx_next (&r, '}');
+  if (rc != 0 || !jsx_at_end (&r))
+    out = "bad";
+  json_object_put (name);
+  jsx_reader_finish (&r);
+  return out;
+}
+
+// Guards against a large array that must be in memory as a whole to be read,
+// and against a cut or malformed one that passes for a whole one.
+TEST (Jsonx, ArraysAreReadElementByElement)
+{
+  const struct
+  {
+    const char *text, *elements;
+  } cases[] = {
+    { "{\"n\":[]}", "" },
+    { "{\"n\":[1]}", "1;" },
+    { " { \"n\" : [ 1 , \"a,b]\" , null ] } ", "1;\"a,b]\";null;" },
+    { "{\"n\":[[1],[]]}", "[ 1 ];[ ];" },
+    { "{\"n\":[{\"m\":[2]}]}", "{ \"m\": [ 2 ] };" },
+    { "{\"n\":[1,]}", "bad" },
+    { "{\"n\":[1 2]}", "bad" },
+    { "{\"n\":[1}", "bad" },
+    { "{\"n\":[1", "bad" },
+    { "{\"n\":[\"a", "bad" },
+    { "{\"n\":[1]", "bad" },
+    { "{\"n\":[1]}x", "bad" },
+    { "{\"n\" [1]}", "bad" },
+    { "{n:[1]}", "bad" },
+    { "{}", "bad" },
+    { "", "bad" },
+  };
+  for (const auto &c : cases)
+    EXPECT_EQ (read_all (c.text), c.elements) << c.text;
+}
 }
