Connections when descriptors or memory are short; refusals noticed at once

The client waits for reading while it connects; hcl_never_sent() names the errors that prove that a request was not sent.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -51,16 +51,21 @@
   struct tevent_fd *fde;
 };
 
+/* Only a refusal by the peer shows that nothing listens there: a connection
+   also fails without one, for want of descriptors or ports for example.  */
 static int
-map_curl_code (CURLcode code)
+map_curl_code (CURL *easy, CURLcode code)
 {
+  long os_error = 0;
+
   if (code == CURLE_OK)
     return 0;
-  if (code == CURLE_COULDNT_CONNECT)
-    return -ECONNREFUSED;
   if (code == CURLE_OPERATION_TIMEDOUT)
     return -ETIMEDOUT;
-  return -EIO;
+  curl_easy_getinfo (easy, CURLINFO_OS_ERRNO, &os_error);
+  if (code != CURLE_COULDNT_CONNECT)
+    return -EIO;
+  return os_error == ECONNREFUSED ? -ECONNREFUSED : -ENOTCONN;
 }
 
 static void
@@ -78,7 +83,7 @@
 
       if (msg->msg != CURLMSG_DONE)
         continue;
-      err = map_curl_code (msg->data.result);
+      err = map_curl_code (msg->easy_handle, msg->data.result);
       curl_easy_getinfo (msg->easy_handle, CURLINFO_PRIVATE, (char **)&r);
       curl_easy_getinfo (msg->easy_handle, CURLINFO_RESPONSE_CODE, &status);
       body.data = r->response;
@@ -128,8 +133,9 @@
     }
   if (what == CURL_POLL_IN || what == CURL_POLL_INOUT)
     flags |= TEVENT_FD_READ;
+  /* tevent reports a failed connect only to those who wait for reading.  */
   if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
-    flags |= TEVENT_FD_WRITE;
+    flags |= TEVENT_FD_READ | TEVENT_FD_WRITE;
   tevent_fd_set_flags (w->fde, flags);
   return 0;
 }
@@ -251,7 +257,7 @@
   struct hcl_request *r = priv;
   size_t len = size * n;
   char *grown
-      = talloc_realloc (r, r->response, char, r->response_len + len + 1);
+      = talloc_realloc_size (r, r->response, r->response_len + len + 1);
 
   if (grown == NULL)
     return 0;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -6,6 +6,8 @@
 #ifndef LV_HTTP_CLIENT_H
 #define LV_HTTP_CLIENT_H
 
+#include <errno.h>
+#include <stdbool.h>
 #include <tevent.h>
 
 #include "lagoonvale/slice.h"
@@ -24,11 +26,19 @@
  * @body: borrowed until the callback returns
  * @priv: as given to hcl_send()
  *
- * -ECONNREFUSED means that the request was never sent.
+ * -ECONNREFUSED: the peer refused the connection; -ENOTCONN: there was none
+ * for another reason.
  */
 typedef void (*hcl_done_fn) (int err, long status, struct lv_slice body,
                              void *priv);
 
+/** hcl_never_sent() - whether @err means that the request was never sent. */
+static inline bool
+hcl_never_sent (int err)
+{
+  return err == -ECONNREFUSED || err == -ENOTCONN;
+}
+
 /** hcl_new() - client on event loop @ev with at most @connections per host. */
 struct hcl_client *hcl_new (void *mem_ctx, struct tevent_context *ev,
                             long connections);
--- a/src/logtail.c
+++ b/src/logtail.c
@@ -109,7 +109,10 @@
       wait ? POLL_WAIT_MS : 0);
   struct lv_slice none = { NULL, 0 };
 
-  hcl_send (tail->client, "GET", url, none, POLL_TIMEOUT_MS, poll_done, tail);
+  if (hcl_send (tail->client, "GET", url, none, POLL_TIMEOUT_MS, poll_done,
+                tail)
+      == NULL)
+    schedule_retry (tail);
   talloc_free (url);
 }
 
@@ -166,6 +169,8 @@
 
   a->done = done;
   a->priv = priv;
-  hcl_send (tail->client, "POST", url, lv_slice_of (data), APPEND_TIMEOUT_MS,
-            append_done, a);
+  if (hcl_send (tail->client, "POST", url, lv_slice_of (data),
+                APPEND_TIMEOUT_MS, append_done, a)
+      == NULL)
+    append_done (-ENOMEM, 0, lv_slice_of (NULL), a);
 }
--- a/src/net.c
+++ b/src/net.c
@@ -11,6 +11,8 @@
 #include <talloc.h>
 #include <unistd.h>
 
+#include "logline.h"
+
 #define LISTEN_BACKLOG 512
 #define PORT_MAX 65535
 
@@ -136,13 +138,37 @@
   return rc;
 }
 
+/* SPARE_FD is given up to accept a connection when descriptors are short.  */
 struct server
 {
   int fd;
+  int spare_fd;
   void (*accepted) (int fd, const char *peer, void *priv);
   void *priv;
 };
 
+static bool
+is_shortage (int code)
+{
+  return code == EMFILE || code == ENFILE || code == ENOBUFS || code == ENOMEM;
+}
+
+/* Close the oldest connection that waits to be accepted, since descriptors are
+   short: the listening socket would stay readable, and its peer wait.  */
+static void
+shed_connection (struct server *server, int code)
+{
+  int fd;
+
+  log_ratelimited (LOGL_WARN, "accept-failed", "code=%d", -code);
+  if (server->spare_fd >= 0)
+    close (server->spare_fd);
+  fd = accept (server->fd, NULL, NULL);
+  if (fd >= 0)
+    close (fd);
+  server->spare_fd = fcntl (server->fd, F_DUPFD_CLOEXEC, 0);
+}
+
 static void
 accept_cb (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
            void *priv)
@@ -157,12 +183,24 @@
   (void)fde;
   (void)flags;
   if (fd < 0)
-    return;
+    {
+      if (is_shortage (errno))
+        shed_connection (server, errno);
+      return;
+    }
   set_socket_options (fd);
   net_format (ntohl (from.sin_addr.s_addr), ntohs (from.sin_port), peer);
   server->accepted (fd, peer, server->priv);
 }
 
+static int
+close_spare (struct server *server)
+{
+  if (server->spare_fd >= 0)
+    close (server->spare_fd);
+  return 0;
+}
+
 int
 net_serve (void *mem_ctx, struct tevent_context *ev, const char *text,
            void (*accepted) (int fd, const char *peer, void *priv), void *priv)
@@ -177,6 +215,8 @@
   server->fd = fd;
   server->accepted = accepted;
   server->priv = priv;
+  server->spare_fd = fcntl (fd, F_DUPFD_CLOEXEC, 0);
+  talloc_set_destructor (server, close_spare);
   fde = tevent_add_fd (ev, server, fd, TEVENT_FD_READ, accept_cb, server);
   tevent_fd_set_auto_close (fde);
   return 0;
--- a/src/onc.c
+++ b/src/onc.c
@@ -74,7 +74,7 @@
   if (cap <= b->cap)
     return 0;
   cap = cap < READ_CHUNK ? READ_CHUNK : cap * 2;
-  grown = talloc_realloc (conn, b->data, char, cap);
+  grown = talloc_realloc_size (conn, b->data, cap);
   if (grown == NULL)
     return -ENOMEM;
   b->data = grown;
--- a/src/web.c
+++ b/src/web.c
@@ -210,13 +210,19 @@
 static void
 append_body (struct web_request *r, const char *data, size_t len)
 {
-  if (r->len + len > r->server->body_max)
+  char *grown = NULL;
+
+  if (len == 0)
+    return;
+  if (r->len + len <= r->server->body_max)
+    grown = talloc_realloc_size (r, r->body, r->len + len);
+  if (grown == NULL)
     {
       r->too_long = true;
       return;
     }
-  r->body = talloc_realloc (r, r->body, char, r->len + len);
-  memcpy (r->body + r->len, data, len);
+  memcpy (grown + r->len, data, len);
+  r->body = grown;
   r->len += len;
 }
 
@@ -324,10 +330,37 @@
       MHD_OPTION_CONNECTION_TIMEOUT, idle_s, MHD_OPTION_NOTIFY_COMPLETED,
       completed, NULL, MHD_OPTION_END);
   if (s->daemon == NULL)
-    return NULL;
+    {
+      close (fd);
+      talloc_free (s);
+      return NULL;
+    }
   info = MHD_get_daemon_info (s->daemon, MHD_DAEMON_INFO_EPOLL_FD);
   tevent_add_fd (ev, s, info->epoll_fd, TEVENT_FD_READ, ready_cb, s);
   tick_cb (ev, NULL, tevent_timeval_zero (), s);
   *rc = 0;
   return s;
 }
+
+int
+web_listen_all (void *mem_ctx, struct tevent_context *ev,
+                const struct web_endpoint *endpoints, unsigned count,
+                size_t body_max, unsigned idle_s, struct err_error *err)
+{
+  unsigned i;
+
+  for (i = 0; i < count; i++)
+    {
+      const struct web_endpoint *e = &endpoints[i];
+      int rc;
+      struct web_server *server = web_listen (
+          mem_ctx, ev, e->address, body_max, idle_s, e->handler, e->priv, &rc);
+
+      if (server == NULL)
+        return err_set (err, rc, e->step, e->address, "cannot listen: %s",
+                        strerror (-rc));
+      if (e->server != NULL)
+        *e->server = server;
+    }
+  return 0;
+}
--- a/src/web.h
+++ b/src/web.h
@@ -11,6 +11,7 @@
 #include <stdbool.h>
 #include <tevent.h>
 
+#include "error.h"
 #include "lagoonvale/slice.h"
 
 struct web_server;
@@ -49,6 +50,29 @@
                                unsigned idle_s, web_handler_fn handler,
                                void *priv, int *rc);
 
+/**
+ * struct web_endpoint - an address to serve
+ * @step: static name, for errors
+ * @address: "IP:PORT"
+ * @server: set to its server, unless NULL
+ */
+struct web_endpoint
+{
+  const char *step;
+  const char *address;
+  web_handler_fn handler;
+  void *priv;
+  struct web_server **server;
+};
+
+/**
+ * web_listen_all() - serve HTTP on each of @endpoints, as web_listen() does
+ * Return: 0, or a negative error number with step and address in @err.
+ */
+int web_listen_all (void *mem_ctx, struct tevent_context *ev,
+                    const struct web_endpoint *endpoints, unsigned count,
+                    size_t body_max, unsigned idle_s, struct err_error *err);
+
 /** web_disable_keepalive() - close each connection after its next answer. */
 void web_disable_keepalive (struct web_server *s);
 
