Two adopters with the same ballot: only the first is fenced

Equal ballots of preempting adopters (16 random bits) were both taken as the holder, so both could start a task. The ledger compares the holder's address too, an adopter yields to an equal ballot, and the random part is wider. Each preemption added one more retry timer; the former is freed.

Test: Ledger.EqualBallotsOfTwoAdoptersAreNotBothFenced.

--- a/src/adopt.c
+++ b/src/adopt.c
@@ -65,7 +65,7 @@
     return ADP_WAIT;
   if (held == 0)
     return ADP_PROCEED;
-  if (a->rival.ballot > a->self.ballot || rival_done)
+  if (a->rival.ballot >= a->self.ballot || rival_done)
     return ADP_YIELD;
   a->preempt = true;
   reset_held (a);
--- a/src/entry_adopt.c
+++ b/src/entry_adopt.c
@@ -15,6 +15,8 @@
 /* Random ballots keep the two top bits clear, so that a preempting adopter can
    add to one without overflow.  */
 #define BALLOT_MASK 0x3fffffffffffffffULL
+/* Random part that a preempting adopter adds, so that two of them differ.  */
+#define PREEMPT_MASK 0xffffffffffffULL
 
 /* Indices of the tasks that one agent has started.  */
 struct started
@@ -28,6 +30,7 @@
   struct ent_record *rec;
   struct adp_adoption core;
   struct started *started; /* one for each agent */
+  struct tevent_timer *retry;
   uint64_t deadline_ns;
 };
 
@@ -217,6 +220,7 @@
   (void)ev;
   (void)te;
   (void)at;
+  a->retry = NULL;
   send_fences (a);
 }
 
@@ -242,8 +246,11 @@
     for (uint32_t i = 0; i < a->core.count; i++)
       if (a->core.agent[i].state == ADP_PENDING)
         adp_set_unavailable (&a->core, i);
-  tevent_add_timer (e->ev, a, tevent_timeval_current_ofs (0, RETRY_MS * 1000),
-                    on_retry_timer, a);
+  /* After a preemption the timer of the earlier fences is still running.  */
+  TALLOC_FREE (a->retry);
+  a->retry = tevent_add_timer (e->ev, a,
+                               tevent_timeval_current_ofs (0, RETRY_MS * 1000),
+                               on_retry_timer, a);
   if (adp_next (&a->core) == ADP_UNCERTAIN)
     fail_uncertain (a, "owner_gone");
 }
@@ -326,5 +333,5 @@
   if (rec != NULL)
     ent_submit_as (e, r, sid);
   else
-    begin_adoption (e, r, sid, ballot + 1 + (rnd_u64 () & 0xffff), true);
+    begin_adoption (e, r, sid, ballot + 1 + (rnd_u64 () & PREEMPT_MASK), true);
 }
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -247,6 +247,12 @@
   return task;
 }
 
+static bool
+is_same_holder (const struct led_holder *a, const struct led_holder *b)
+{
+  return a->ballot == b->ballot && a->addr == b->addr && a->port == b->port;
+}
+
 int
 led_fence (struct led_ledger *l, const struct sid_id *sid,
            const struct led_holder *next, bool no_preempt, uint64_t now_ns,
@@ -259,9 +265,9 @@
     return -ENOSPC;
   held = &sub->holder;
   *current = *held;
-  if (next->ballot == held->ballot)
+  if (is_same_holder (next, held))
     return 0;
-  if (next->ballot < held->ballot || (no_preempt && held->ballot > 0))
+  if (next->ballot <= held->ballot || (no_preempt && held->ballot > 0))
     return -EBUSY;
   *held = *next;
   return 0;
--- a/tests/model/model.c
+++ b/tests/model/model.c
@@ -11,6 +11,12 @@
  *   model --expect-bug  counts crashed agents as fenced, so that an owner
  *                       adopts on a majority; the search must find the
  *                       resulting double start
+ *   model --equal-ballots
+ *                       both adopters draw the same ballot, nothing else goes
+ *                       wrong; searches deep enough for both to start tasks,
+ *                       and expects no violation
+ *
+ * A second argument is the depth of the search.
  */
 #include <errno.h>
 #include <stdio.h>
@@ -99,6 +105,8 @@
 
 static const struct sid_id sid = { .owner = 1, .roster = 1, .seq = 1 };
 static bool majority_bug;
+static bool equal_ballots;
+static const char double_start[] = "a task was started twice";
 
 static void
 send_message (struct state *st, struct message m)
@@ -121,7 +129,7 @@
     }
   for (int i = 0; i < OWNERS; i++)
     sub_init (&st->owner[i].core, st->owner[i].tasks, TASKS);
-  st->owner[0].active = true;
+  st->owner[0].active = !equal_ballots;
 }
 
 static void
@@ -343,7 +351,7 @@
 begin_adoption (struct state *st, unsigned o)
 {
   struct owner *owner = &st->owner[o];
-  struct led_holder self = { 10 * o, o, 1 };
+  struct led_holder self = { equal_ballots ? 10 : 10 * o, o, 1 };
 
   owner->adopting = true;
   owner->round++;
@@ -427,14 +435,14 @@
   if (o > 0 && !owner->active && !owner->adopting && owner->round == 0)
     out[n++] = (struct action){ ADOPT, (unsigned char)o, 0, 0 };
   for (unsigned b = 0; b < AGENTS; b++)
-    if (has_messages_in_flight (st, o, b))
+    if (!equal_ballots && has_messages_in_flight (st, o, b))
       out[n++] = (struct action){ DISCONNECT, (unsigned char)o,
                                   (unsigned char)b, 0 };
   if (!owner->active)
     return n;
   for (unsigned t = 0; t < TASKS; t++)
     {
-      if (owner->tasks[t].state == SUB_UNRESOLVED)
+      if (!equal_ballots && owner->tasks[t].state == SUB_UNRESOLVED)
         out[n++] = (struct action){ GIVE_UP, (unsigned char)o, 0,
                                     (unsigned char)t };
       for (unsigned b = 0; b < AGENTS; b++)
@@ -455,7 +463,7 @@
   for (unsigned o = 0; o < OWNERS; o++)
     n += enabled_owner_actions (st, o, out + n);
   for (unsigned b = 0; b < AGENTS; b++)
-    if (!st->crashed[b] && !st->crashed[1 - b])
+    if (!equal_ballots && !st->crashed[b] && !st->crashed[1 - b])
       out[n++] = (struct action){ CRASH, 0, (unsigned char)b, 0 };
   return n;
 }
@@ -479,7 +487,7 @@
   for (unsigned k = 0; k < n; k++)
     fields[1] |= 1ULL << indices[k];
   if (l->by_id != NULL && led_fence (l, &sid, &probe, true, 0, &held) != 0)
-    fields[3] = held.ballot;
+    fields[3] = held.ballot | (uint64_t)held.addr << 32;
   fields[2] |= l->tasks << 8; /* tombstones count as tasks */
   return XXH3_64bits_withSeed (fields, sizeof fields, h);
 }
@@ -526,7 +534,7 @@
 {
   for (unsigned t = 0; t < TASKS; t++)
     if (st->starts[t] > 1)
-      return "a task was started twice";
+      return double_start;
   for (unsigned o = 0; o < OWNERS; o++)
     {
       const struct owner *x = &st->owner[o];
@@ -564,6 +572,7 @@
   struct node *visited;
   struct node **queue;
   unsigned count;
+  unsigned overflows; /* states that hold too many messages */
 };
 
 static void
@@ -590,6 +599,7 @@
   s->queue[s->count++] = node;
 }
 
+/* Return: the violation found, or NULL.  */
 static const char *
 expand_node (struct search *s, const struct node *node, unsigned depth_max)
 {
@@ -606,7 +616,9 @@
       replay_path (&st, node);
       apply_action (&st, next[i]);
       violation = find_violation (&st);
-      if (!st.overflow)
+      if (st.overflow)
+        s->overflows++;
+      else
         add_state (s, &st, node, next[i]);
       state_finish (&st);
       if (violation != NULL)
@@ -628,10 +640,15 @@
   struct state st;
   struct action none = { 0, 0, 0, 0 };
   const char *violation = NULL;
-  unsigned depth_max = argc > 2 ? (unsigned)atoi (argv[2]) : 9;
+  unsigned depth_max = 9;
   unsigned deepest = 0;
 
   majority_bug = argc > 1 && strcmp (argv[1], "--expect-bug") == 0;
+  equal_ballots = argc > 1 && strcmp (argv[1], "--equal-ballots") == 0;
+  if (equal_ballots)
+    depth_max = DEPTH_MAX;
+  if (argc > 2)
+    depth_max = (unsigned)atoi (argv[2]);
   if (depth_max > DEPTH_MAX)
     depth_max = DEPTH_MAX;
   s.queue = calloc (STATES_MAX, sizeof (struct node *)); /* NOLINT */
@@ -645,5 +662,10 @@
     }
   printf ("states %u, depth %u%s\n", s.count, deepest,
           s.count == STATES_MAX ? ", stopped at the limit of states" : "");
-  return (violation != NULL) == majority_bug ? 0 : 1;
+  if (s.overflows > 0)
+    printf ("not searched: %u states with more than %d messages\n",
+            s.overflows, MESSAGES_MAX);
+  return violation == (majority_bug ? double_start : NULL) && s.overflows == 0
+             ? 0
+             : 1;
 }
--- a/tests/run.py
+++ b/tests/run.py
@@ -68,7 +68,9 @@
         jobs = [("unit", [os.path.join(BUILD, "unit"), "--gtest_brief=1"]),
                 ("model", [os.path.join(BUILD, "model")]),
                 ("model-finds-a-seeded-bug",
-                 [os.path.join(BUILD, "model"), "--expect-bug"])] + jobs
+                 [os.path.join(BUILD, "model"), "--expect-bug"]),
+                ("model-with-equal-ballots",
+                 [os.path.join(BUILD, "model"), "--equal-ballots"])] + jobs
     known_failures = read_known_failures()
     passed, failed, ignored = 0, 0, []
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
--- a/tests/unit/ledger_test.cc
+++ b/tests/unit/ledger_test.cc
@@ -50,10 +50,10 @@
     return led_start (&l, &sid, ballot, index, now, &task);
   }
   int
-  fence (uint64_t ballot, bool no_preempt = false)
+  fence (uint64_t ballot, bool no_preempt = false, uint32_t addr = 1)
   {
     struct sid_id sid = make_sid (1);
-    struct led_holder next = { ballot, 1, 2 };
+    struct led_holder next = { ballot, addr, 2 };
     return led_fence (&l, &sid, &next, no_preempt, 0, &held);
   }
   led_state
@@ -125,6 +125,16 @@
     }
 }
 
+/* Two adopters that draw the same ballot would both be told that they may
+   start the tasks.  */
+TEST_F (Ledger, EqualBallotsOfTwoAdoptersAreNotBothFenced)
+{
+  EXPECT_EQ (fence (9, false, 1), 0);
+  EXPECT_EQ (fence (9, false, 2), -EBUSY);
+  EXPECT_EQ (held.addr, 1u);
+  EXPECT_EQ (fence (9, false, 1), 0) << "repeated after a lost answer";
+}
+
 TEST_F (Ledger, StartsOnlyIdsMintedAfterTheAnnouncement)
 {
   const struct
