--- a/src/agent.c
+++ b/src/agent.c
@@ -187,6 +187,8 @@
   a->ev = ev;
   a->incarnation = rnd_u64 ();
   a->last_tick_ns = clk_now ();
+  a->target_leaving = agt_leave;
+  a->events = &agt_run_events;
   a->target = agt_target_find (a->set.target_kind);
   if (a->target == NULL)
     return err_set (err, -EINVAL, "start", NULL,
@@ -201,6 +203,7 @@
   key_init (&a->keys, ev, 2 * a->set.window_s * 1000, a->set.window_s * 1000,
             a->set.ledger_bytes / KEY_BYTES_SHARE);
   ros_init (&a->roster, ev);
+  agt_worker_init (a);
   grt_init (&a->grants, (uint32_t)(a->set.slots + a->set.ahead));
   a->client = hcl_new (ev, ev, (long)a->set.connections);
   rc = wst_init (&a->web, a->set.metrics, &a->counters);
--- a/src/agent.h
+++ b/src/agent.h
@@ -9,9 +9,10 @@
  * agents of its own (runner.h).
  *
  *   agent.c          settings, startup, timer tick, leaving
- *   agent_session.c  connections from entries, heartbeats, credits
+ *   agent_session.c  connections from entries, heartbeats
  *   agent_calls.c    RPC calls: start, resolve, fence and bind
  *   agent_run.c      running tasks and the calls that wait for them
+ *   agent_grant.c    credits of the entries
  *   agent_worker.c   lease on the worker, its capacity and its tasks
  *   agent_member.c   membership stream
  *   agent_target.c   target implementations "minion" and "null"
@@ -118,7 +119,7 @@
 /**
  * struct agt_target_ops - implementation of a kind of target
  * @name: value of target.kind in the settings
- * @start: run a task and call agt_run_ended() or agt_run_not_started() once
+ * @start: run a task and call one of the agent's struct agt_run_events once
  * @stop: request the early end of a running task
  * @watch: check on each tick whether the target is leaving; may be NULL
  */
@@ -130,6 +131,18 @@
   void (*watch) (struct agt_agent *agent);
 };
 
+/**
+ * struct agt_run_events - how a target tells the outcome of a run
+ * @ended: it ended, or the target did not answer; frees it
+ * @not_started: it never reached the target; frees it
+ */
+struct agt_run_events
+{
+  void (*ended) (struct agt_run *run, enum led_state state,
+                 struct lv_slice output);
+  void (*not_started) (struct agt_run *run);
+};
+
 /**
  * struct agt_worker - the worker that an agent manages
  * @requested_ns: when the lease was last requested
@@ -213,6 +226,9 @@
   struct lgt_tail *members;
   struct hcl_client *client;
   const struct agt_target_ops *target;
+  const struct agt_run_events *events;
+  /* The target says that it leaves.  */
+  void (*target_leaving) (struct agt_agent *a, const char *why);
   struct agt_worker worker;
   struct agt_session *sessions;
   struct agt_run *running;
@@ -276,12 +292,7 @@
 /** agt_run_remove_waiters() - drop all calls of the closed session @s. */
 void agt_run_remove_waiters (struct agt_agent *a, struct agt_session *s);
 
-/** agt_run_ended() - @run ended or its target did not answer; frees it. */
-void agt_run_ended (struct agt_run *run, enum led_state state,
-                    struct lv_slice output);
-
-/** agt_run_not_started() - @run never reached its target; frees it. */
-void agt_run_not_started (struct agt_run *run);
+extern const struct agt_run_events agt_run_events;
 
 /** agt_run_stop() - cancel @run, if it is running. */
 void agt_run_stop (struct agt_run *run);
@@ -298,6 +309,9 @@
 /** agt_member_leave() - append the end record of this agent. */
 void agt_member_leave (struct agt_agent *a, const char *why);
 
+/** agt_worker_init() - begin without a lease or capacity. */
+void agt_worker_init (struct agt_agent *a);
+
 /** agt_worker_tick() - renew the lease, request usage, send offers. */
 void agt_worker_tick (struct agt_agent *a, uint64_t now_ns);
 
--- a/src/agent_calls.c
+++ b/src/agent_calls.c
@@ -102,12 +102,13 @@
 {
   struct agt_agent *a = s->agent;
   struct sid_id sid = wir_to_sid (&call->sid);
+  struct capa_size need = wir_to_size (&call->need);
   const struct led_task *task = NULL;
   int rc;
 
   if (!reserve (s, call))
     {
-      log_refusal (s, call, call->credited ? "no-credit" : "no-room");
+      log_refusal (s, call, capa_is_zero (&need) ? "no-credit" : "no-room");
       send_outcome (s, xid, LVP_BUSY);
       return;
     }
--- a/src/agent_run.c
+++ b/src/agent_run.c
@@ -189,9 +189,8 @@
     grt_end (&a->grants, (unsigned)run->grant_index);
 }
 
-void
-agt_run_ended (struct agt_run *run, enum led_state state,
-               struct lv_slice output)
+static void
+run_ended (struct agt_run *run, enum led_state state, struct lv_slice output)
 {
   struct agt_agent *a = run->agent;
   uint64_t now = clk_now ();
@@ -214,8 +213,8 @@
   launch_queued (a);
 }
 
-void
-agt_run_not_started (struct agt_run *run)
+static void
+run_not_started (struct agt_run *run)
 {
   struct agt_agent *a = run->agent;
   lvp_outcome out = { .status = LVP_NOT_STARTED };
@@ -227,9 +226,29 @@
   launch_queued (a);
 }
 
+/* End RUN, which waits for a slot, as never started.  */
+static void
+cancel_queued (struct agt_run *run)
+{
+  struct agt_agent *a = run->agent;
+  lvp_outcome out = { .status = LVP_NOT_STARTED };
+
+  DL_DELETE (a->queued, run);
+  a->queued_count--;
+  if (run->grant_index >= 0)
+    grt_end (&a->grants, (unsigned)run->grant_index);
+  led_revert_start (&a->ledger, &run->sid, run->index);
+  answer_waiters (run, &out);
+  talloc_free (run);
+}
+
 void
 agt_run_stop (struct agt_run *run)
 {
   if (find_run (run->agent->running, &run->sid, run->index) != NULL)
     run->ops->stop (run->agent, run);
+  else
+    cancel_queued (run);
 }
+
+const struct agt_run_events agt_run_events = { run_ended, run_not_started };
--- a/src/agent_target.c
+++ b/src/agent_target.c
@@ -39,12 +39,12 @@
   struct agt_run *run = priv;
 
   run->request = NULL;
-  if (err == -ECONNREFUSED)
-    agt_run_not_started (run);
+  if (hcl_never_sent (err))
+    run->agent->events->not_started (run);
   else if (err == 0 && status == HTTP_OK)
-    agt_run_ended (run, LED_SUCCEEDED, body);
+    run->agent->events->ended (run, LED_SUCCEEDED, body);
   else
-    agt_run_ended (run, err != 0 ? LED_LOST : LED_FAILED, body);
+    run->agent->events->ended (run, err != 0 ? LED_LOST : LED_FAILED, body);
 }
 
 static void
@@ -68,7 +68,7 @@
   if (run->request != NULL)
     hcl_cancel (run->request);
   run->request = NULL;
-  agt_run_ended (run, LED_LOST, none);
+  run->agent->events->ended (run, LED_LOST, none);
 }
 
 static void
@@ -83,7 +83,7 @@
   json = jsx_parse (body);
   if (json_object_object_get_ex (json, "leaving", &leaving)
       && json_object_get_boolean (leaving))
-    agt_leave (a, "minion");
+    a->target_leaving (a, "minion");
   json_object_put (json);
 }
 
@@ -105,11 +105,12 @@
 static void
 null_end (struct tevent_context *ev, struct tevent_immediate *im, void *priv)
 {
+  struct agt_run *run = priv;
   struct lv_slice none = { "", 0 };
 
   (void)ev;
   (void)im;
-  agt_run_ended (priv, LED_SUCCEEDED, none);
+  run->agent->events->ended (run, LED_SUCCEEDED, none);
 }
 
 /* Ends each task at once: measures the overhead of the system without a
--- a/src/agent_worker.c
+++ b/src/agent_worker.c
@@ -12,6 +12,9 @@
 #include "logline.h"
 #include "wire.h"
 
+_Static_assert(TRN_ENTRIES_MAX == GRT_SESSIONS_MAX,
+               "each session has a turn at the worker");
+
 #define USAGE_PERIOD_NS (500 * CLK_MS)
 #define USAGE_TIMEOUT_MS 2000L
 #define STOP_TIMEOUT_MS 2000L
@@ -21,16 +24,13 @@
 #define HTTP_CONFLICT 409
 #define HTTP_INTERNAL_ERROR 500
 
-static struct capa_size
-read_size (struct json_object *json)
+/* Return: false if any size is missing or cannot be read.  */
+static bool
+read_size (struct json_object *json, struct capa_size *size)
 {
-  struct capa_size s = {
-    .cores = (uint32_t)jsx_uint (json, "cores", 0),
-    .memory_mb = (uint32_t)jsx_uint (json, "memory_mb", 0),
-    .accelerators = (uint32_t)jsx_uint (json, "accelerators", 0),
-  };
-
-  return s;
+  return jsx_get_u32 (json, "cores", &size->cores)
+         && jsx_get_u32 (json, "memory_mb", &size->memory_mb)
+         && jsx_get_u32 (json, "accelerators", &size->accelerators);
 }
 
 static void
@@ -131,13 +131,29 @@
   schedule_offers (a);
 }
 
+/* An answer that cannot be read is none: the lease is not renewed by it, and
+   the capacity stays as it was.  */
+static void
+reject_answer (const struct agt_agent *a, const char *what)
+{
+  log_line (LOGL_WARN, "worker-bad-answer", "worker=%s what=%s",
+            a->set.worker_url, what);
+}
+
 static void
 lease_granted (struct agt_agent *a, struct json_object *json)
 {
   struct agt_worker *w = &a->worker;
   uint64_t epoch = jsx_uint (json, "epoch", 0);
-  struct capa_size total = read_size (json);
+  struct capa_size total;
+  uint64_t ttl_ns;
 
+  if (epoch == 0 || !read_size (json, &total)
+      || !jsx_get_ms (json, "ttl_ms", &ttl_ns))
+    {
+      reject_answer (a, "lease");
+      return;
+    }
   ctr_add (&a->counters, AGT_LEASES, epoch != w->lease.epoch);
   if (epoch != w->lease.epoch)
     log_line (LOGL_INFO, "lease",
@@ -145,20 +161,22 @@
               "accelerators=%u",
               a->set.worker_url, epoch, total.cores, total.memory_mb,
               total.accelerators);
-  if (capa_is_zero (&w->capacity.total))
-    capa_init (&w->capacity, &total, clk_now ());
   /* Reservations made under an expired lease stay: each is released when the
      request of its task ends.  */
   w->capacity.total = total;
-  lse_granted (&w->lease, epoch, w->requested_ns,
-               jsx_uint (json, "ttl_ms", 0) * CLK_MS);
+  lse_granted (&w->lease, epoch, w->requested_ns, ttl_ns);
 }
 
 static void
 lease_refused (struct agt_agent *a, struct json_object *json)
 {
-  uint64_t left_ns = jsx_uint (json, "left_ms", 0) * CLK_MS;
+  uint64_t left_ns;
 
+  if (!jsx_get_ms (json, "left_ms", &left_ns))
+    {
+      reject_answer (a, "refusal");
+      return;
+    }
   ctr_add (&a->counters, AGT_LEASES_LOST, a->worker.lease.epoch != 0);
   log_line (LOGL_WARN, "lease-refused",
             "worker=%s holder=%s left_ms=%" PRIu64 " lost_epoch=%" PRIu64,
@@ -208,12 +226,18 @@
 {
   struct agt_agent *a = priv;
   struct json_object *json = err == 0 ? jsx_parse (body) : NULL;
-  struct capa_size used = read_size (json);
-  uint64_t age_ns = jsx_uint (json, "age_ms", 0) * CLK_MS;
+  struct capa_size used;
+  uint64_t age_ns;
+  bool valid = read_size (json, &used) && jsx_get_ms (json, "age_ms", &age_ns);
 
   json_object_put (json);
   if (err != 0 || status != HTTP_OK)
     return;
+  if (!valid)
+    {
+      reject_answer (a, "usage");
+      return;
+    }
   capa_report_usage (&a->worker.capacity, &used,
                      clk_since (clk_now (), age_ns));
   schedule_offers (a);
@@ -230,6 +254,14 @@
   talloc_free (url);
 }
 
+void
+agt_worker_init (struct agt_agent *a)
+{
+  const struct capa_size none = { 0, 0, 0 };
+
+  capa_init (&a->worker.capacity, &none, clk_now ());
+}
+
 void
 agt_worker_tick (struct agt_agent *a, uint64_t now_ns)
 {
@@ -302,18 +334,18 @@
   struct agt_agent *a = run->agent;
 
   run->request = NULL;
-  if (err == -ECONNREFUSED || (err == 0 && status == HTTP_CONFLICT))
-    agt_run_not_started (run);
+  if (hcl_never_sent (err) || (err == 0 && status == HTTP_CONFLICT))
+    run->agent->events->not_started (run);
   else if (err == 0 && status == HTTP_OK)
-    agt_run_ended (run, LED_SUCCEEDED, body);
+    run->agent->events->ended (run, LED_SUCCEEDED, body);
   else if (err == 0 && status == HTTP_INTERNAL_ERROR)
-    agt_run_ended (run, LED_FAILED, body);
+    run->agent->events->ended (run, LED_FAILED, body);
   else
     {
       /* The task ended with the lease, or its outcome is unknown: stop it, as
          it may still be running.  */
       worker_stop (a, run);
-      agt_run_ended (run, LED_LOST, body);
+      run->agent->events->ended (run, LED_LOST, body);
     }
 }
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -16,7 +16,10 @@
                  "epoch","running"}
      most: maximum starts of a single task; lapsed: number of expired leases;
      peak: maximum of the declared sizes in total
-POST /control {"usage_lag_ms": N, "fail_all": bool}
+POST /control {"usage_lag_ms": N, "fail_all": bool, "total": {sizes},
+              "bad_leases": N, "bad_usage": bool}
+     total: its sizes from now on; bad_leases: so many answers to renewals, and
+     bad_usage: all answers to usage requests, are not JSON
 """
 import argparse
 import asyncio
@@ -31,7 +34,8 @@
 class Worker:
     def __init__(self, total):
         self.total = total
-        self.control = {"usage_lag_ms": 1000, "fail_all": False}
+        self.control = {"usage_lag_ms": 1000, "fail_all": False,
+                        "total": total, "bad_leases": 0, "bad_usage": False}
         self.epoch = 0
         self.holder = ""
         self.expires_at = 0.0
@@ -69,7 +73,10 @@
             self.epoch += 1
             self.holder = request["holder"]
         self.expires_at = now + request["ttl_ms"] / 1000
-        return 200, dict(self.total, epoch=self.epoch,
+        if self.control["bad_leases"] > 0:
+            self.control["bad_leases"] -= 1
+            return 200, b"{\"epoch\": "
+        return 200, dict(self.control["total"], epoch=self.epoch,
                          ttl_ms=request["ttl_ms"])
 
     # -- tasks ------------------------------------------------------------
@@ -117,6 +124,8 @@
 
     def usage(self):
         at = time.monotonic() - self.control["usage_lag_ms"] / 1000
+        if self.control["bad_usage"]:
+            return 200, b"{"
         used = self.history[0][1]
         for when, sizes in self.history:
             if when <= at:
--- a/tests/process/test_all_or_nothing.py
+++ b/tests/process/test_all_or_nothing.py
@@ -1,6 +1,7 @@
 """A job is answered completely or has failed, never in part; each caller gets
 the answer to its own job; a graceful shutdown loses no task; silent
 connections are replaced."""
+import json
 import socket
 import threading
 import time
@@ -126,6 +127,26 @@
             self.assertEqual(Caller(c, 1, job(2, 20)).result(), "complete")
 
 
+    # Guards against a cancelled task that starts later, since it was waiting
+    # at its agent.
+    def test_a_task_queued_ahead_is_cancelled(self):
+        with Cluster(entries=1, agents=1,
+                     slots=1, agent={"target.ahead": 1}) as c:
+            time.sleep(1.2)
+            first = Caller(c, 0, job(1, 1500))
+            self.assertTrue(wait_until(lambda: len(c.starts()) == 1))
+            sid = c.mint(0)[0]
+            second = Caller(c, 0, job(1, 50, id=sid))
+            time.sleep(0.3)
+            http("DELETE", c.url(0, "/v1/jobs/" + sid))
+            self.assertEqual(first.result(), "complete")
+            second.result()
+            time.sleep(0.5)
+            self.assertEqual(len(c.starts()), 1)
+            self.check_invariants(c, [first, second])
+            self.assertEqual(Caller(c, 0, job(2, 20)).result(), "complete")
+
+
 class Leaving(ProcessTest):
     def starts_at(self, c, i):
         return http("GET", "http://%s/starts?summary=1"
@@ -179,6 +200,31 @@
             self.assertEqual({x.result() for x in load.callers}, {"complete"})
             self.check_invariants(c, load.callers + mine)
 
+    # Guards against an entry that exits while an answer is still being sent:
+    # the caller reads slowly, and would get a part of it.
+    def test_entry_told_to_leave_sends_large_answers_whole(self):
+        with cluster(entries=1, agents=2) as c:
+            address = c.entry_plan[0]["http"].rsplit(":", 1)
+            caller = socket.socket()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.settimeout(20)
+            caller.connect((address[0], int(address[1])))
+            body = json.dumps(job(20, 100, payload={"out_bytes": 200000}))
+            caller.sendall(("POST /v1/jobs HTTP/1.1\r\nHost: x\r\n"
+                            "Connection: close\r\nContent-Length: %d\r\n\r\n"
+                            "%s" % (len(body), body)).encode())
+            self.assertTrue(wait_until(lambda: len(c.starts()) == 20))
+            c.entries[0].send(15)
+            time.sleep(1.5)
+            answer = b""
+            while data := caller.recv(65536):
+                answer += data
+            head, text = answer.split(b"\r\n\r\n", 1)
+            self.assertIn(b"200 OK", head)
+            self.assertEqual(len(json.loads(text)["tasks"]), 20, text[:200])
+            self.assertTrue(wait_until(lambda: not c.entries[0].alive(), 8))
+            self.assertEqual(c.entries[0].popen.returncode, 0)
+
     def test_leaving_entry_attaches_known_ids(self):
         """A leaving entry attaches callers to a job that runs there, and
         refuses unknown ids as "not run"."""
--- a/tests/process/test_workers.py
+++ b/tests/process/test_workers.py
@@ -174,6 +174,54 @@
         self.assertFalse(first.is_alive(), "the second ran beside the first")
         self.check_invariants(c, [first, second])
 
+    # Guards against reservations that are forgotten, and tasks started over
+    # them, after an answer to a lease request that cannot be read.
+    def test_unreadable_lease_answers_do_not_free_capacity(self):
+        c = self.cluster(agents=1, workers=1)
+        first = Caller(c, 0, worker_job(1, 2500, 32))
+        self.assertTrue(wait_until(lambda: sum(c.starts().values()) == 1))
+        c.worker_control(0, bad_leases=1)
+        self.assertTrue(wait_until(
+            lambda: http("POST", "http://%s/control" % c.workers[0].address,
+                         {})[1]["bad_leases"] == 0))
+        second = Caller(c, 0, worker_job(4, 50, 8))
+        self.assertEqual(first.result(), "complete")
+        self.assertEqual(second.result(), "complete")
+        self.check_invariants(c, [first, second])
+        self.check_capacity(c)
+
+    # Guards against starts over a worker that has shrunk, when more is
+    # reserved there than it has left.
+    def test_no_task_starts_at_a_worker_that_shrank_below_its_reservations(self):
+        c = self.cluster(agents=1, workers=1)
+        first = Caller(c, 0, worker_job(4, 2500, 4))
+        self.assertTrue(wait_until(lambda: sum(c.starts().values()) == 4))
+        c.worker_control(0, total=dict(SIZE, cores=8))
+        time.sleep(LEASE_MS / 1000)
+        second = Caller(c, 0, worker_job(2, 50, 4))
+        self.assertEqual(first.result(), "complete")
+        self.assertEqual(second.result(), "complete")
+        self.assertEqual(c.worker_report(0)["peak"]["cores"], 16)
+        self.check_invariants(c, [first, second])
+
+    # Guards against a task that uses more than it declared being forgotten
+    # after a usage report that cannot be read.
+    def test_unreadable_usage_reports_do_not_free_capacity(self):
+        c = self.cluster(agents=1, workers=1)
+        c.worker_control(0, usage_lag_ms=200)
+        under_declared = worker_job(1, 3500, 1, 1024)
+        under_declared["tasks"][0]["payload"]["uses_memory_mb"] = 131072
+        first = Caller(c, 0, under_declared)
+        self.assertTrue(wait_until(lambda: sum(c.starts().values()) == 1))
+        time.sleep(1)
+        c.worker_control(0, bad_usage=True)
+        time.sleep(0.6)
+        second = Caller(c, 0, worker_job(1, 50, 1, 65536))
+        self.assertEqual(first.result(), "complete")
+        self.assertEqual(second.result(), "complete")
+        self.assertGreaterEqual(second.took_s, 1)
+        self.check_invariants(c, [first, second])
+
     def test_cancelled_tasks_are_stopped_at_the_worker(self):
         c = self.cluster(agents=1, workers=1)
         sid = c.mint(0)[0]
