Callers' waits, keys and fingerprints are read as a whole or refused

Tests: BadInput.test_waits_and_keys_that_cannot_be_read_are_refused, .test_an_ id_sent_again_with_other_resources_is_refused, Rules (limit 0), Queue.OutOfMemoryRefusesTheTask.

--- a/src/entry_admit.c
+++ b/src/entry_admit.c
@@ -72,7 +72,8 @@
     return false;
   u = find_usage (e, type, name, false);
   /* Each entry gets an equal part of the fleet-wide limit.  */
-  return u != NULL && (uint32_t)u->running >= (limit + entries - 1) / entries;
+  return (u != NULL ? (uint32_t)u->running : 0)
+         >= (limit + entries - 1) / entries;
 }
 
 bool
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -1,3 +1,4 @@
+#include <ctype.h>
 #include <errno.h>
 #include <microhttpd.h>
 #include <stdio.h>
@@ -100,21 +101,36 @@
   return MHD_YES;
 }
 
-static uint64_t
-uint_argument (struct MHD_Connection *connection, const char *name,
-               uint64_t fallback)
+/* Read the query argument NAME, a whole number, into VALUE, which stays as it
+   is if there is none.  Return: false, with WHY filled in, if it is malformed.
+ */
+static bool
+read_uint_argument (struct MHD_Connection *connection, const char *name,
+                    uint64_t *value, struct req_refusal *why)
 {
   const char *text
       = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, name);
-
-  return text != NULL ? strtoull (text, NULL, 10) : fallback;
+  char *end;
+
+  if (text == NULL)
+    return true;
+  errno = 0;
+  *value = strtoull (text, &end, 10);
+  if (isdigit ((unsigned char)text[0]) && *end == '\0' && errno == 0)
+    return true;
+  req_refuse (why, 400, "bad_request", "parse", true,
+              "argument %s: found %.40s, expected a whole number", name, text);
+  return false;
 }
 
-static void
-read_wait (struct exchange *x, struct req_request *r)
+static bool
+read_wait (struct exchange *x, struct req_request *r, struct req_refusal *why)
 {
-  r->wait_ms = uint_argument (x->connection, "wait_ms", UINT64_MAX);
+  r->wait_ms = UINT64_MAX;
+  if (!read_uint_argument (x->connection, "wait_ms", &r->wait_ms, why))
+    return false;
   r->wait = r->wait_ms > 0;
+  return true;
 }
 
 /* Early refusals from the published view.  A submission that HAS_ID, or a key,
@@ -155,7 +171,7 @@
   if (key != NULL)
     r->key = talloc_strdup (r, key);
   ctr_add (&x->entry->counters, ENT_REQUESTS, 1);
-  if (!req_parse (r, &why)
+  if (!req_parse (r, &why) || !read_wait (x, r, &why)
       || view_refuses (x->entry, r->has_sid || r->key != NULL, &why))
     {
       /* It may have run before under its id or key, here or elsewhere.  */
@@ -165,7 +181,6 @@
       talloc_free (r);
       return result;
     }
-  read_wait (x, r);
   return queue_request (x, r);
 }
 
@@ -184,7 +199,11 @@
       return send_refusal (x, &why);
     }
   r->has_sid = true;
-  read_wait (x, r);
+  if (!read_wait (x, r, &why))
+    {
+      talloc_free (r);
+      return send_refusal (x, &why);
+    }
   return queue_request (x, r);
 }
 
@@ -192,9 +211,11 @@
 handle_mint (struct exchange *x)
 {
   struct req_request *r;
-  uint64_t count = uint_argument (x->connection, "count", 1);
+  uint64_t count = 1;
   struct req_refusal why;
 
+  if (!read_uint_argument (x->connection, "count", &count, &why))
+    return send_refusal (x, &why);
   if (view_refuses (x->entry, false, &why))
     return send_refusal (x, &why);
   if (count < 1 || count > MINT_MAX)
--- a/src/entry_peer.c
+++ b/src/entry_peer.c
@@ -219,8 +219,10 @@
 
   DL_FOREACH (e->peers, peer)
   {
-    if ((incarnation == 0 || peer->incarnation == incarnation)
-        && peer->addr == addr && peer->port == port)
+    bool same = incarnation == 0 ? !peer->replaced
+                                 : peer->incarnation == incarnation;
+
+    if (same && peer->addr == addr && peer->port == port)
       return peer;
   }
   peer = talloc_zero (e->ev, struct ent_peer);
--- a/src/keybind.c
+++ b/src/keybind.c
@@ -72,6 +72,12 @@
   return b;
 }
 
+static uint64_t
+saturating_sub (uint64_t a, uint64_t b)
+{
+  return a > b ? a - b : 0;
+}
+
 int
 key_bind (struct key_table *t, struct lv_slice key, const struct sid_id *sid,
           uint64_t since_ms, uint64_t first_sent_ms, uint64_t now_ms,
@@ -91,8 +97,9 @@
   *bound = b->sid;
   if (!sid_equal (&b->sid, sid))
     return -EEXIST;
-  earliest_ms = first_sent_ms != 0 ? first_sent_ms - CLOCK_SKEW_MS
-                                   : now_ms - t->window_ms;
+  earliest_ms = first_sent_ms != 0
+                    ? saturating_sub (first_sent_ms, CLOCK_SKEW_MS)
+                    : saturating_sub (now_ms, t->window_ms);
   return b->home_since_ms <= earliest_ms ? 0 : -EAGAIN;
 }
 
--- a/src/queue.c
+++ b/src/queue.c
@@ -142,6 +142,11 @@
   if (f == NULL)
     return NULL;
   f->team = get_or_add_team (q, team);
+  if (f->team == NULL)
+    {
+      talloc_free (f);
+      return NULL;
+    }
   f->key_len = flow_key (f->key, team, urgency, kind);
   f->urgency = urgency;
   f->kind.data = f->key + 2 + f->key[1];
--- a/src/request.c
+++ b/src/request.c
@@ -9,6 +9,7 @@
 #include <xxhash.h>
 
 #include "jsonx.h"
+#include "lagoonvale/name.h"
 
 #define BAD_REQUEST 400
 
@@ -192,8 +193,10 @@
                        "1 to 100 bytes of UTF-8 without control characters");
       r->key = talloc_strdup (r, json_object_get_string (value));
     }
-  if (r->key != NULL && strlen (r->key) > REQ_KEY_MAX)
-    return reject (why, "key %s: expected %s", "key", "1 to 100 bytes");
+  if (r->key != NULL
+      && (strlen (r->key) > REQ_KEY_MAX || !nam_valid (lv_slice_of (r->key))))
+    return reject (why, "key %s: expected %s", "key",
+                   "1 to 100 bytes of UTF-8 without control characters");
   if (r->key != NULL && r->has_sid)
     return reject (why, "found both %s and a key, expected %s", "id", "one");
   return true;
@@ -345,6 +348,9 @@
   for (uint32_t i = 0; i < r->count; i++)
     {
       const struct req_task *t = &r->tasks[i];
+      const uint64_t numbers[]
+          = { t->declared_ms, t->cores, t->memory_mb, t->accelerators };
+      h = XXH3_64bits_withSeed (numbers, sizeof numbers, h);
       h = XXH3_64bits_withSeed (t->kind, strlen (t->kind), h);
       h = XXH3_64bits_withSeed (t->payload, t->payload_len, h);
     }
--- a/src/ruleversion.c
+++ b/src/ruleversion.c
@@ -206,7 +206,10 @@
   if (s->synced || version < s->version || as_of + 1 < s->first)
     return false;
   if (version > s->version)
-    set_current (s, version, id, text);
+    {
+      set_current (s, version, id, text);
+      s->accepted_ms = 0;
+    }
   s->synced = true;
   s->offset = as_of;
   replay_pending (s);
--- a/tests/process/test_bad_input.py
+++ b/tests/process/test_bad_input.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import subprocess
+import urllib.parse
 
 from client import Caller, Cluster, ProcessTest, http, job, wait_until
 from cluster import BUILD
@@ -93,12 +94,49 @@
                 ("GET", "/nothing", 404), ("PUT", "/v1/jobs", 404),
                 ("GET", "/v1/jobs/xyz", 400),
                 ("POST", "/v1/submissions?count=0", 400),
-                ("POST", "/v1/submissions?count=9999999", 400)):
+                ("POST", "/v1/submissions?count=9999999", 400),
+                ("POST", "/v1/submissions?count=-1", 400),
+                ("POST", "/v1/submissions?count=2x", 400),
+                ("POST", "/v1/submissions?count=", 400)):
             with self.subTest(path=path):
                 self.assertEqual(
                     http(method, self.c.url(0, path))[0], status)
         self.check_still_serving()
 
+    # Guards against waits and keys that are not what they were meant to be.
+    def test_waits_and_keys_that_cannot_be_read_are_refused(self):
+        sid = self.c.mint(0)[0]
+        for wait in ("-1", "abc", "", "1e3", "5 ", "99999999999999999999999"):
+            with self.subTest(wait=wait):
+                for method, path, body in (
+                        ("POST", "/v1/jobs", job(1)),
+                        ("GET", "/v1/jobs/" + sid, None)):
+                    status, answer = http(method, self.c.url(
+                        0, path + "?wait_ms=" + urllib.parse.quote(wait)), body)
+                    self.assertEqual((status, answer["error"]["code"]),
+                                     (400, "bad_request"))
+                    self.assertIn("wait_ms", answer["error"]["detail"])
+        for key in ("", " ", "k" * 101, "a\tb"):
+            with self.subTest(key=key):
+                status, answer = http("POST", self.c.url(0, "/v1/jobs"), job(1),
+                                      {"Idempotency-Key": key})
+                self.assertEqual((status, answer["error"]["code"]),
+                                 (400, "bad_request"))
+        self.check_still_serving()
+
+    # Guards against an answer to another body than the one that was sent.
+    def test_an_id_sent_again_with_other_resources_is_refused(self):
+        sid = self.c.mint(0)[0]
+        self.assertEqual(self.c.submit(0, job(1, id=sid))[0], 200)
+        for more in ({"declared_ms": 7}, {"cores": 1}, {"memory_mb": 1},
+                     {"accelerators": 1}):
+            with self.subTest(more=more):
+                body = job(1, id=sid)
+                body["tasks"][0].update(more)
+                status, answer = self.c.submit(0, body)
+                self.assertEqual((status, answer["error"]["code"]),
+                                 (422, "other_body"))
+
     def test_rpc_records(self):
         records = [
             b"", b"\x80", b"GET / HTTP/1.1\r\n\r\n",
@@ -156,6 +194,9 @@
                     ' "log": {"url": "http://127.0.0.1:3"},'
                     ' "heartbeat_ms": "500ms"}')
         good = os.path.join(self.c.dir, "e0.json")
+        no_slots = os.path.join(self.c.dir, "no-slots.json")
+        with open(no_slots, "w") as f:
+            f.write('{"name": "x", "slots": 0, "streams": []}')
         body = os.path.join(self.c.dir, "body.json")
         with open(body, "w") as f:
             json.dump(job(2, 20), f)
@@ -165,13 +206,24 @@
             (("lagoonvale-agent", "--version"), 0, "lagoonvale-agent 0"),
             (("lagoonvale-load", "--help"), 0, "--reference"),
             (("lagoonvale-load",), 2, ""),
+            (("lagoonvale-load", "--reference", no_slots), 2,
+             "slots: expected 1 to"),
             (("lagoonvale-entry",), 2, "SETTINGS"),
             (("lagoonvale-entry", path), 2, "heartbeat_ms"),
             (("lagoonvale-entry", "--check", good), 0, "valid"),
             (("lagoonvale", "settings", "check", "--role", "entry", path), 2,
              "found \"500ms\", expected a whole number"),
+            (("lagoonvale", "settings", "check", "--role", "agnet", good), 2,
+             "expected entry or agent"),
+            (("lagoonvale", "rules", "publish", "--log", "http://127.0.0.1:1",
+              "--wait", "-1", good), 2, "expected 0 or more"),
             (("lagoonvale", "nothing"), 2, "Usage"),
             (("lagoonvale", "status", "--entry", entry), 0, '"agents"'),
+            (("lagoonvale", "status"), 2, "either --entry or --metrics"),
+            (("lagoonvale", "status", "--entry", entry, "--metrics", entry),
+             2, "either --entry or --metrics"),
+            (("lagoonvale", "status", "--metrics", "http://127.0.0.1:1"), 1,
+             "no answer"),
             (("lagoonvale", "submit", "--entry", entry, body), 0, "complete"),
             (("lagoonvale", "submit", "--entry", entry, path), 3, "not_run"),
             (("lagoonvale", "submit", "--entry", "http://127.0.0.1:1", body),
--- a/tests/process/test_rules.py
+++ b/tests/process/test_rules.py
@@ -84,8 +84,12 @@
                 self.assertEqual(caller.answers[0][1]["error"]["code"], code)
             c.publish("refuse team bad # A: b\nrefuse kind worse # A: b\n"
                       "refuse urgency bulk # A: b\nqueue team few 3 # A: b\n"
-                      "limit kind slow 2 # A: b\ndrain domain palermo # A: b\n")
+                      "limit kind slow 2 # A: b\nlimit kind none 0 # A: b\n"
+                      "drain domain palermo # A: b\n")
             self.await_version(c, 1)
+            Caller(c, 0, job(1, 20, kind="none"))
+            time.sleep(0.5)
+            self.assertEqual(c.starts(), {}, "a limit of 0 lets nothing start")
             refused("refused_by_rule", job(1, team="bad"))
             refused("refused_by_rule", job(1, kind="worse"))
             refused("refused_by_rule", job(1, urgency="bulk"))
--- a/tests/unit/members_rules_test.cc
+++ b/tests/unit/members_rules_test.cc
@@ -328,6 +328,7 @@
       << "records between 10 and 50 are missing";
   EXPECT_TRUE (rvs_adopt (&s, 5, 49, "x", lv_slice_of ("weight team a 2 # A: b")));
   EXPECT_EQ (s.version, 5u);
+  EXPECT_EQ (s.accepted_ms, 0u) << "not that of version 1";
   EXPECT_FALSE (rvs_adopt (&s, 4, 60, "y", lv_slice_of (""))) << "lower version";
   rvs_init (&peer, mem);
   EXPECT_TRUE (rvs_adopt (&peer, 3, 9, "z", lv_slice_of (""))) << "no log read yet";
--- a/tests/unit/queue_test.cc
+++ b/tests/unit/queue_test.cc
@@ -254,6 +254,34 @@
   EXPECT_EQ (talloc_total_size (mem), before);
 }
 
+/* A task that cannot be queued for want of memory must be refused; what was
+   allocated for it before must leave the queue usable.  */
+TEST_F (Queue, OutOfMemoryRefusesTheTask)
+{
+  size_t used = talloc_total_size (mem); /* 0: a limit of 0 is none */
+  unsigned refused = 0;
+
+  for (size_t more = 16; more < 4000; more += 16)
+    {
+      Item i = {};
+
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wdeprecated-declarations"
+      talloc_set_memlimit (mem, used + more);
+#pragma GCC diagnostic pop
+      if (que_push (&q, &i.item, lv_slice_of ("t"), QUE_NORMAL, lv_slice_of ("k"), kMs, 0, 0) != 0)
+        {
+          refused++;
+          continue;
+        }
+      EXPECT_EQ (que_peek (&q, kMs, nullptr, nullptr), &i.item);
+      que_take (&q, &i.item, kMs);
+      break;
+    }
+  EXPECT_GT (refused, 2u);
+  EXPECT_EQ (que_peek (&q, kMs, nullptr, nullptr), nullptr);
+}
+
 TEST (Usage, Mean)
 {
   const struct
