--- a/src/histogram.c
+++ b/src/histogram.c
@@ -4,10 +4,9 @@
 #include <stdio.h>
 #include <talloc.h>
 #include <uthash.h>
+#include <xxhash.h>
 
 #define NS_PER_S 1e9
-/* Size of the key of a series (family and both label values), bytes.  */
-#define KEY_MAX 192
 
 /* Bounds of the buckets, seconds; the last bucket is shown as le="+Inf".  */
 static const double bounds[]
@@ -15,10 +14,17 @@
         0.2, 0.5,   1,     2,     5,    10,   1e12 };
 #define BUCKETS (sizeof bounds / sizeof bounds[0] - 1)
 
+/* Identifies a series by hashes of its label values.  */
+struct series_key
+{
+  uint64_t id;
+  uint64_t label;
+  uint64_t label2;
+};
+
 struct hst_series
 {
-  char key[KEY_MAX];
-  size_t key_len;
+  struct series_key key;
   unsigned id;
   char *labels; /* in exposition format */
   gsl_histogram *buckets;
@@ -49,22 +55,21 @@
     }
 }
 
-static size_t
-make_key (char key[KEY_MAX], unsigned id, struct lv_slice label,
-          struct lv_slice label2)
+static struct series_key
+make_key (unsigned id, struct lv_slice label, struct lv_slice label2)
 {
-  int n = snprintf (key, KEY_MAX, "%u\n%.*s\n%.*s", id, (int)label.len,
-                    label.data, (int)label2.len, label2.data);
+  struct series_key key = { id, XXH3_64bits (label.data, label.len),
+                            XXH3_64bits (label2.data, label2.len) };
 
-  return n < KEY_MAX ? (size_t)n : KEY_MAX - 1;
+  return key;
 }
 
 static struct hst_series *
-find_series (const struct hst_set *set, const char *key, size_t len)
+find_series (const struct hst_set *set, const struct series_key *key)
 {
   struct hst_series *s;
 
-  HASH_FIND (hh, set->series, key, len, s);
+  HASH_FIND (hh, set->series, key, sizeof *key, s);
   return s;
 }
 
@@ -89,15 +94,14 @@
 }
 
 static struct hst_series *
-add_series (struct hst_set *set, unsigned id, const char *key, size_t len,
+add_series (struct hst_set *set, const struct series_key *key,
             struct lv_slice label, struct lv_slice label2)
 {
-  const struct hst_desc *d = &set->descs[id];
+  const struct hst_desc *d = &set->descs[key->id];
   struct hst_series *s = talloc_zero (set->mem_ctx, struct hst_series);
 
-  memcpy (s->key, key, len);
-  s->key_len = len;
-  s->id = id;
+  s->key = *key;
+  s->id = (unsigned)key->id;
   s->labels = append_label (talloc_strdup (s, ""), d->label, label);
   if (d->label2 != NULL)
     {
@@ -106,7 +110,7 @@
     }
   s->buckets = gsl_histogram_alloc (BUCKETS);
   gsl_histogram_set_ranges (s->buckets, bounds, BUCKETS + 1);
-  HASH_ADD (hh, set->series, key[0], s->key_len, s);
+  HASH_ADD (hh, set->series, key, sizeof s->key, s);
   set->series_count++;
   return s;
 }
@@ -117,18 +121,17 @@
 {
   double seconds = (double)ns / NS_PER_S;
   struct hst_series *s;
-  char key[KEY_MAX];
-  size_t len = make_key (key, id, label, label2);
+  struct series_key key = make_key (id, label, label2);
 
-  s = find_series (set, key, len);
+  s = find_series (set, &key);
   if (s == NULL && set->series_count >= HST_SERIES_MAX)
     {
       label = label2 = lv_slice_of ("other");
-      len = make_key (key, id, label, label2);
-      s = find_series (set, key, len);
+      key = make_key (id, label, label2);
+      s = find_series (set, &key);
     }
   if (s == NULL)
-    s = add_series (set, id, key, len, label, label2);
+    s = add_series (set, &key, label, label2);
   gsl_histogram_increment (s->buckets, seconds);
   s->sum_s += seconds;
 }
@@ -137,9 +140,8 @@
 hst_count (const struct hst_set *set, unsigned id, struct lv_slice label,
            struct lv_slice label2)
 {
-  char key[KEY_MAX];
-  size_t len = make_key (key, id, label, label2);
-  const struct hst_series *s = find_series (set, key, len);
+  struct series_key key = make_key (id, label, label2);
+  const struct hst_series *s = find_series (set, &key);
 
   return s != NULL ? (uint64_t)gsl_histogram_sum (s->buckets) : 0;
 }
--- a/src/timeline.c
+++ b/src/timeline.c
@@ -1,5 +1,6 @@
 #include "lagoonvale/timeline.h"
 
+#include <ctype.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -76,6 +77,25 @@
     }
 }
 
+static bool
+is_name_char (char c)
+{
+  return isalnum ((unsigned char)c) || c == '-' || c == '_';
+}
+
+/* Whether TEXT has ID, not as a part of a longer name.  */
+static bool
+names (const char *text, const char *id)
+{
+  size_t len = strlen (id);
+  const char *at;
+
+  for (at = strstr (text, id); at != NULL && len > 0; at = strstr (at + 1, id))
+    if ((at == text || !is_name_char (at[-1])) && !is_name_char (at[len]))
+      return true;
+  return false;
+}
+
 static double
 parse_number (const char *text, const char *key)
 {
@@ -116,7 +136,7 @@
   copy_value (start, "name", l->name, sizeof l->name);
   copy_value (start, "event", l->event, sizeof l->event);
   copy_value (start, "role", role, sizeof role);
-  l->named = strstr (event, id) != NULL;
+  l->named = names (event, id);
   if (!l->named && !is_state_event (l->event))
     {
       talloc_free (l);
--- a/tests/unit/histogram_test.cc
+++ b/tests/unit/histogram_test.cc
@@ -87,6 +87,26 @@
   EXPECT_NE (text ().find ("{call=\"a\\\"b\\\\c\\nd\",le="), std::string::npos);
 }
 
+// Guards against durations counted under the labels of another series.
+TEST_F (Histogram, SimilarLabelsAreDifferentSeries)
+{
+  const std::string one = std::string (250, 'x') + "1";
+  const std::string two = std::string (250, 'x') + "2";
+  const struct
+  {
+    std::string label;
+    std::string label2;
+  } cases[] = { { one, "" }, { two, "" }, { "a\nb", "c" }, { "a", "b\nc" } };
+
+  for (const auto &c : cases)
+    hst_observe (&set, 1, { c.label.data (), c.label.size () },
+                 { c.label2.data (), c.label2.size () }, kMs);
+  for (const auto &c : cases)
+    EXPECT_EQ (hst_count (&set, 1, { c.label.data (), c.label.size () },
+                          { c.label2.data (), c.label2.size () }),
+               1u);
+}
+
 TEST_F (Histogram, SeriesBeyondTheLimitCountAsOther)
 {
   for (unsigned i = 0; i < HST_SERIES_MAX + 50; i++)
--- a/tests/unit/timeline_test.cc
+++ b/tests/unit/timeline_test.cc
@@ -55,6 +55,19 @@
              "= event=job-end job=aa outcome=complete\n");
 }
 
+// Guards against lines of a request whose id contains the one asked for.
+TEST (Timeline, AnIdThatIsPartOfAnotherIsNotMatched)
+{
+  const char *const others[]
+      = { "job job=aab", "job job=baa", "place job=x-aa", "place job=aa_1" };
+
+  for (const char *other : others)
+    EXPECT_EQ (format_timeline ("aa", { line ("100.1", "entry", "e1", other),
+                                        arrival, run, answer }),
+               format_timeline ("aa", { arrival, run, answer }))
+        << other;
+}
+
 TEST (Timeline, IncludesStateEventsOfInvolvedInstances)
 {
   const struct
