--- a/include/lagoonvale/catalog.h
+++ b/include/lagoonvale/catalog.h
@@ -14,6 +14,7 @@
 #include <uthash.h>
 
 #include "lagoonvale/slice.h"
+#include "lagoonvale/textpool.h"
 
 /** Longest name, host, prefix or service of a queue, bytes. */
 #define CAT_TEXT_MAX 512
@@ -30,22 +31,22 @@
  * @target_ms: fixed part of a job's latency target
  * @slack_permille: part of the target that grows with the job's expected run
  * time, in thousandths of that time
- * @key: @host followed by @prefix
+ * @key: @host followed by @prefix, which may be the end of it
  * @hash: of all fields above
  * @changed: version in which it last changed, as far as is known here
  */
 struct cat_queue
 {
-  char *name;
-  char *host;
-  char *prefix;
-  char *service;
+  const char *name;
+  const char *host;
+  const char *prefix;
+  const char *service;
   uint32_t priority;
   uint32_t attempts;
   uint32_t timeout_ms;
   uint32_t target_ms;
   uint32_t slack_permille;
-  char *key;
+  const char *key;
   uint64_t hash;
   uint64_t changed;
   UT_hash_handle hh;
@@ -64,7 +65,9 @@
  * @body_max: longest request body, bytes
  * @idle_ms: idle time after which a connection is closed
  * @count: number of @queues
+ * @allocated: number of queues for which there is space
  * @queues: array of all queues, sorted by key once they are indexed
+ * @texts: of the queues
  * @by_key: hash table of @queues
  * @digest: of all fields and queues; equal configurations have equal ones
  * @position: in the log that it was read from, behind it; 0 if unknown
@@ -77,7 +80,9 @@
   uint32_t body_max;
   uint32_t idle_ms;
   uint32_t count;
+  uint32_t allocated;
   struct cat_queue *queues;
+  struct txp_pool texts;
   struct cat_queue *by_key;
   uint64_t digest;
   uint64_t position;
@@ -89,16 +94,22 @@
 /** cat_new() - allocate a configuration with @count zeroed queues. */
 struct cat_config *cat_new (void *mem_ctx, uint64_t version, uint32_t count);
 
-/** cat_copy_queue() - copy all configured fields; @c owns the copy's text. */
-void cat_copy_queue (struct cat_config *c, struct cat_queue *to,
-                     const struct cat_queue *from);
+/**
+ * cat_add_queue() - append a copy of all configured fields of @from
+ *
+ * Not after cat_build_index(), which moves the queues.
+ *
+ * Return: the copy, with its key; NULL if a text is missing or memory is out.
+ */
+struct cat_queue *cat_add_queue (struct cat_config *c,
+                                 const struct cat_queue *from);
 
 /**
  * cat_build_index() - sort and index the queues once all are filled in
  *
- * Return: 0, -EINVAL if the name, host, prefix or service of a queue is not a
- * valid name (see nam_valid()) or is too long, or -EEXIST if two queues have
- * the same host and prefix.
+ * Return: 0, -ENOMEM, -EINVAL if the name, host, prefix or service of a queue
+ * is not a valid name (see nam_valid()) or is too long, or -EEXIST if two
+ * queues have the same host and prefix.
  */
 int cat_build_index (struct cat_config *c);
 
--- a/src/catalog.c
+++ b/src/catalog.c
@@ -9,6 +9,8 @@
 
 /* Longest host plus path that can be looked up, bytes.  */
 #define KEY_MAX 512
+/* Fewest queues for which space is added at a time.  */
+#define ADDED_MIN 64
 
 static int
 clear_index (struct cat_config *c)
@@ -24,24 +26,67 @@
 
   c->version = version;
   c->count = count;
+  c->allocated = count;
   c->queues = talloc_zero_array (c, struct cat_queue, count);
+  txp_init (&c->texts, c);
   talloc_set_destructor (c, clear_index);
   return c;
 }
 
-void
-cat_copy_queue (struct cat_config *c, struct cat_queue *to,
-                const struct cat_queue *from)
+/* Change the space for queues to that of COUNT.  */
+static int
+resize (struct cat_config *c, uint32_t count)
+{
+  struct cat_queue *queues
+      = talloc_realloc (c, c->queues, struct cat_queue, count);
+
+  if (queues == NULL && count > 0)
+    return -ENOMEM;
+  c->queues = queues;
+  c->allocated = count;
+  return 0;
+}
+
+static const char *
+add_key (struct cat_config *c, const struct cat_queue *q)
+{
+  char *key = talloc_asprintf (NULL, "%s%s", q->host, q->prefix);
+  const char *kept
+      = key != NULL ? txp_add (&c->texts, lv_slice_of (key)) : NULL;
+
+  talloc_free (key);
+  return kept;
+}
+
+static bool
+has_all_texts (const struct cat_queue *q)
+{
+  return q->name != NULL && q->host != NULL && q->prefix != NULL
+         && q->service != NULL;
+}
+
+struct cat_queue *
+cat_add_queue (struct cat_config *c, const struct cat_queue *from)
 {
-  to->name = talloc_strdup (c->queues, from->name);
-  to->host = talloc_strdup (c->queues, from->host);
-  to->prefix = talloc_strdup (c->queues, from->prefix);
-  to->service = talloc_strdup (c->queues, from->service);
-  to->priority = from->priority;
-  to->attempts = from->attempts;
-  to->timeout_ms = from->timeout_ms;
-  to->target_ms = from->target_ms;
-  to->slack_permille = from->slack_permille;
+  struct cat_queue *to;
+
+  if (!has_all_texts (from)
+      || (c->count == c->allocated
+          && resize (c, c->count + c->count / 2 + ADDED_MIN) != 0))
+    return NULL;
+  to = &c->queues[c->count];
+  *to = *from;
+  to->name = txp_add (&c->texts, lv_slice_of (from->name));
+  to->host = txp_add (&c->texts, lv_slice_of (from->host));
+  to->service = txp_add (&c->texts, lv_slice_of (from->service));
+  to->key = add_key (c, from);
+  if (to->key == NULL)
+    return NULL;
+  to->prefix = to->key + strlen (from->host);
+  if (!has_all_texts (to))
+    return NULL;
+  c->count++;
+  return to;
 }
 
 static bool
@@ -88,10 +133,12 @@
 static int
 prepare_queue (struct cat_config *c, struct cat_queue *q)
 {
-  if (q->name == NULL || q->host == NULL || q->prefix == NULL
-      || q->service == NULL || !has_valid_names (q))
+  if (!has_all_texts (q) || !has_valid_names (q))
     return -EINVAL;
-  q->key = talloc_asprintf (c->queues, "%s%s", q->host, q->prefix);
+  if (q->key == NULL)
+    q->key = add_key (c, q);
+  if (q->key == NULL)
+    return -ENOMEM;
   q->hash = hash_queue (q);
   q->changed = c->version;
   c->digest += q->hash;
@@ -103,8 +150,10 @@
 {
   uint32_t limits[] = { c->body_max, c->idle_ms };
   uint32_t i;
-  int rc;
+  int rc = resize (c, c->count);
 
+  if (rc != 0)
+    return rc;
   c->since = c->version;
   c->digest = XXH3_64bits_withSeed (limits, sizeof limits, c->version);
   for (i = 0; i < c->count; i++)
--- a/src/confsync.c
+++ b/src/confsync.c
@@ -200,20 +200,14 @@
 static int
 stage (struct cat_config *c, const struct cfs_page *page)
 {
-  uint32_t count = c->count + page->count;
   uint32_t i;
 
-  c->queues = talloc_realloc (c, c->queues, struct cat_queue, count);
   for (i = 0; i < page->count; i++)
     {
-      struct cat_queue *q = &c->queues[c->count];
+      const struct cat_queue *q = cat_add_queue (c, page->queues[i]);
 
-      memset (q, 0, sizeof *q);
-      cat_copy_queue (c, q, page->queues[i]);
-      q->key = talloc_asprintf (c->queues, "%s%s", q->host, q->prefix);
-      if (c->count > 0 && strcmp (q[-1].key, q->key) >= 0)
+      if (q == NULL || (c->count > 1 && strcmp (q[-1].key, q->key) >= 0))
         return -EBADMSG;
-      c->count++;
     }
   return 0;
 }
@@ -237,27 +231,28 @@
   return at > 0 && strcmp (staged->queues[at - 1].key, key) == 0;
 }
 
-/* The configuration that STAGED, a difference to BASE, leads to.  */
+/* The configuration that STAGED, a difference to BASE, leads to; NULL if
+   memory is out.  */
 static struct cat_config *
 merge (void *mem_ctx, const struct cat_config *staged,
        const struct cat_config *base)
 {
+  struct cat_config *c = cat_new (mem_ctx, staged->version, 0);
   uint32_t kept = base != NULL ? base->count : 0;
-  struct cat_config *c
-      = cat_new (mem_ctx, staged->version, staged->count + kept);
-  uint32_t n = 0;
+  bool added = true;
   uint32_t i;
 
   c->body_max = staged->body_max;
   c->idle_ms = staged->idle_ms;
   c->position = staged->position;
-  for (i = 0; i < staged->count; i++)
-    cat_copy_queue (c, &c->queues[n++], &staged->queues[i]);
-  for (i = 0; i < kept; i++)
+  for (i = 0; added && i < staged->count; i++)
+    added = cat_add_queue (c, &staged->queues[i]) != NULL;
+  for (i = 0; added && i < kept; i++)
     if (!is_removed (staged, base->queues[i].key)
         && !is_staged (staged, base->queues[i].key))
-      cat_copy_queue (c, &c->queues[n++], &base->queues[i]);
-  c->count = n;
+      added = cat_add_queue (c, &base->queues[i]) != NULL;
+  if (!added)
+    TALLOC_FREE (c);
   return c;
 }
 
@@ -269,7 +264,7 @@
       = merge (t->mem_ctx, t->staged, t->base != 0 ? current : NULL);
 
   cfs_reset (t);
-  t->whole = cat_build_index (c) != 0 || c->digest != t->digest;
+  t->whole = c == NULL || cat_build_index (c) != 0 || c->digest != t->digest;
   if (t->whole)
     {
       talloc_free (c);
--- a/src/peers_config.c
+++ b/src/peers_config.c
@@ -185,9 +185,9 @@
 static lvp_queue
 encode_queue (const struct cat_queue *q)
 {
-  lvp_queue out = { q->name,       q->host,      q->prefix,
-                    q->service,    q->priority,  q->attempts,
-                    q->timeout_ms, q->target_ms, q->slack_permille };
+  lvp_queue out = { (char *)q->name,    (char *)q->host, (char *)q->prefix,
+                    (char *)q->service, q->priority,     q->attempts,
+                    q->timeout_ms,      q->target_ms,    q->slack_permille };
 
   return out;
 }
--- a/tests/unit/confsync_test.cc
+++ b/tests/unit/confsync_test.cc
@@ -4,10 +4,12 @@
 #include <map>
 #include <string>
 #include <talloc.h>
+#include <vector>
 extern "C"
 {
 #include "lagoonvale/confsync.h"
 #include "lagoonvale/pacer.h"
+#include "lagoonvale/textpool.h"
 }
 
 namespace
@@ -228,15 +230,34 @@
     }
 }
 
+// Guards against texts of a configuration that share storage though they
+// differ, and against each one costing an allocation of its own.
+TEST (Textpool, KeepsEachTextAndStoresRepeatedOnesOnce)
+{
+  void *mem_ctx = talloc_new (nullptr);
+  struct txp_pool pool;
+  std::vector<const char *> kept;
+  std::string large (100000, 'x');
+  txp_init (&pool, mem_ctx);
+  for (unsigned i = 0; i < 10000; i++)
+    kept.push_back (txp_add (&pool, lv_slice_of (std::to_string (i).c_str ())));
+  EXPECT_EQ (std::string (txp_add (&pool, lv_slice_of (large.c_str ()))), large);
+  for (unsigned i = 0; i < 10000; i++)
+    ASSERT_EQ (kept[i], std::to_string (i));
+  EXPECT_STREQ (txp_add (&pool, lv_slice_of ("")), "");
+  const char *once = txp_add (&pool, lv_slice_of ("svc"));
+  EXPECT_EQ (txp_add (&pool, lv_slice_of ("svc")), once);
+  EXPECT_LT (talloc_total_size (mem_ctx), 200000u);
+  EXPECT_LT (talloc_total_blocks (mem_ctx), 10u);
+  talloc_free (mem_ctx);
+}
+
 TEST (Catalog, RefusesTwoQueuesOfOneHostAndPrefix)
 {
-  struct cat_config *c = cat_new (nullptr, 1, 2);
+  struct cat_config *c = cat_new (nullptr, 1, 0);
+  const struct cat_queue from = { "n", "h", "/p", "s" };
   for (uint32_t i = 0; i < 2; i++)
-    {
-      const struct cat_queue from
-          = { (char *)"n", (char *)"h", (char *)"/p", (char *)"s" };
-      cat_copy_queue (c, &c->queues[i], &from);
-    }
+    EXPECT_NE (cat_add_queue (c, &from), nullptr);
   EXPECT_EQ (cat_build_index (c), -EEXIST);
   talloc_free (c);
 }
