--- a/cli/cli_jobs.c
+++ b/cli/cli_jobs.c
@@ -10,28 +10,6 @@
 
 #define STATUS_TIMEOUT_MS 5000L
 
-int
-cli_status (struct cli_context *cli, int argc, char **argv)
-{
-  struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
-  struct arg_str *entry
-      = arg_str1 ("e", "entry", "URL", "entry, http://IP:PORT");
-  struct arg_end *end = arg_end (4);
-  void *table[] = { help, entry, end };
-  struct lv_slice none = { NULL, 0 };
-  struct cli_reply reply;
-  int rc = cli_parse (argc, argv, table, 3, "status");
-
-  if (rc < 0)
-    {
-      char *url = talloc_asprintf (cli->ev, "%s/v1/status", entry->sval[0]);
-      reply = cli_http (cli, "GET", url, none, STATUS_TIMEOUT_MS);
-      rc = cli_print_reply (&reply);
-    }
-  arg_freetable (table, 3);
-  return rc;
-}
-
 int
 cli_settings (struct cli_context *cli, int argc, char **argv)
 {
@@ -46,6 +24,13 @@
   struct err_error err;
   int rc = cli_parse (argc, argv, table, 5, "settings");
 
+  if (rc < 0 && strcmp (role->sval[0], "entry") != 0
+      && strcmp (role->sval[0], "agent") != 0)
+    {
+      fprintf (stderr, "settings: role %s: expected entry or agent\n",
+               role->sval[0]);
+      rc = DMN_USAGE;
+    }
   if (rc < 0)
     {
       bool is_entry = strcmp (role->sval[0], "entry") == 0;
--- a/cli/cli_rules.c
+++ b/cli/cli_rules.c
@@ -90,7 +90,8 @@
 
   if (reply.err == 0 && reply.status == 200)
     json = jsx_parse (lv_slice_of (reply.body));
-  if (!json_object_object_get_ex (json, "records", &records))
+  if (!json_object_object_get_ex (json, "records", &records)
+      || !json_object_is_type (records, json_type_array))
     {
       json_object_put (json);
       return false;
@@ -190,7 +191,7 @@
           struct cli_reply reply
               = cli_http (cli, "ONCE", url, lv_slice_of (record), TIMEOUT_MS);
           appended = reply.err == 0 ? reply.status == 200
-                                    : reply.err != -ECONNREFUSED;
+                                    : !hcl_never_sent (reply.err);
         }
       read_stream (cli, log, &state, &next, &own);
       if (own.outcome == RVS_PENDING)
@@ -214,6 +215,12 @@
   void *table[] = { help, log, base, wait, file, end };
   int rc = cli_parse (argc, argv, table, 6, "rules publish");
 
+  if (rc < 0 && wait->count > 0 && wait->ival[0] < 0)
+    {
+      fprintf (stderr, "rules publish: --wait %d: expected 0 or more\n",
+               wait->ival[0]);
+      rc = DMN_USAGE;
+    }
   if (rc < 0)
     {
       struct lv_slice text;
--- a/cli/main.c
+++ b/cli/main.c
@@ -142,7 +142,8 @@
   const char *help;
 } commands[] = {
   { "rules", cli_rules, "check, publish, show, diff or explain rules" },
-  { "status", cli_status, "show an entry's view of the fleet" },
+  { "status", cli_status,
+    "show an entry's view of the fleet, or which dispatchers are behind" },
   { "settings", cli_settings, "check a settings file" },
   { "submit", cli_submit, "submit a job and print its answer" },
   { "explain", cli_explain, "show the timeline of a request from the logs" },
