--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,9 @@
 PROGRAMS = $(B)/lagoonvale-entry $(B)/lagoonvale-agent $(B)/lagoonvale \
   $(B)/lagoonvale-load $(B)/lagoonvale-dispatcher $(B)/lagoonvale-runner
 PFM_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard platform/pfm_*.c))
+# Decoders of what arrives from the platform, without I/O.
+PFM_DECODERS = config job listing page
+UNIT_PFM_OBJ = $(PFM_DECODERS:%=$(B)/platform/pfm_%.o)
 UNIT_SRC = $(wildcard tests/unit/*.cc)
 UNIT_OBJ = $(UNIT_SRC:%.cc=$(B)/%.o)
 
@@ -73,7 +76,7 @@
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $(B)/example-queue: $(B)/examples/queue.o $(B)/liblagoonvale.a
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
-$(B)/unit: $(UNIT_OBJ) $(B)/liblagoonvale.a
+$(B)/unit: $(UNIT_OBJ) $(UNIT_PFM_OBJ) $(B)/liblagoonvale.a
 	$(CXX) $(SAN) -o $@ $^ -lgtest -lgtest_main $(LIBS)
 
 clean:
--- a/include/lagoonvale/amount.h
+++ b/include/lagoonvale/amount.h
@@ -27,6 +27,14 @@
          && need->accelerators <= have->accelerators;
 }
 
+/** amt_equal() - whether @a and @b are equal in every resource. */
+static inline bool
+amt_equal (const struct amt_amount *a, const struct amt_amount *b)
+{
+  return a->mcores == b->mcores && a->memory_mb == b->memory_mb
+         && a->accelerators == b->accelerators;
+}
+
 /** amt_saturating_sub() - @a - @b, clamped to 0. */
 static inline uint32_t
 amt_saturating_sub (uint32_t a, uint32_t b)
--- a/include/lagoonvale/candidate.h
+++ b/include/lagoonvale/candidate.h
@@ -5,7 +5,9 @@
  * the agent of lowest cost among those that provide its service and have
  * enough free resources.  The cost adds up relative run time, utilization and
  * a random term, less a bonus for the entry's own failure domain, plus a
- * penalty for the candidate to avoid.  Pure: randomness is passed in.
+ * penalty for the candidate to avoid.  A task suspected of crashing its minion
+ * gets a candidate without another suspect and with little else at stake;
+ * other tasks go elsewhere if they can.  Pure: randomness is passed in.
  */
 #ifndef LV_CANDIDATE_H
 #define LV_CANDIDATE_H
@@ -23,6 +25,9 @@
  * @total: resources of its backend server
  * @free: as last reported, less what was ordered since
  * @slowness: smoothed run time relative to the fleet's, 1 if unknown
+ * @at_risk: runs a task suspected of crashing it, or is kept for a queue whose
+ * tasks crash their minions
+ * @has_suspect: runs a task suspected of crashing it
  */
 struct cnd_candidate
 {
@@ -32,18 +37,38 @@
   struct amt_amount total;
   struct amt_amount free;
   double slowness;
+  bool at_risk;
+  bool has_suspect;
 };
 
 /**
- * cnd_select() - select an agent for one more task
- * @need: resources of the task
+ * struct cnd_task - a task to place
+ * @need: its resources
  * @avoid: index of a candidate to use only as a last resort, or -1
  * @spread: random, 0 to 1; keeps entries from all selecting the same agent
- *
+ * @suspect: suspected of crashing its minion
+ * @confined: of a queue whose tasks crash their minions; @at_risk does not
+ * matter to it
+ */
+struct cnd_task
+{
+  struct amt_amount need;
+  int avoid;
+  double spread;
+  bool suspect;
+  bool confined;
+};
+
+/**
+ * cnd_select() - select an agent for @task
  * Return: index, or -1 if it fits nowhere.
  */
 int cnd_select (const struct cnd_candidate *candidates, unsigned count,
-                const struct amt_amount *need, int avoid, double spread);
+                const struct cnd_task *task);
+
+/** cnd_may_lose_one() - whether enough candidates of the service are usable
+ * that one may be lost to a suspect. */
+bool cnd_may_lose_one (const struct cnd_candidate *candidates, unsigned count);
 
 /** cnd_usable_could_fit() - whether @need is within the total resources of any
  * usable candidate, so that it fits once enough runs have ended. */
--- a/include/lagoonvale/estimate.h
+++ b/include/lagoonvale/estimate.h
@@ -8,6 +8,7 @@
 #ifndef LV_ESTIMATE_H
 #define LV_ESTIMATE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "lagoonvale/slice.h"
@@ -19,19 +20,19 @@
  * @mem_ctx: talloc parent of the kinds
  * @kinds: hash table by name
  * @kind_count: number of kinds in @kinds
+ * @shared: the kind "*" is in use
  */
 struct est_table
 {
   void *mem_ctx;
   struct est_kind *kinds;
   unsigned kind_count;
+  bool shared;
 };
 
 /**
- * Kinds with a histogram of their own.  est_observe() counts all further
- * kinds, and those with names of 64 bytes or more, under a shared kind "*".
- * Look-ups use the exact name only: for such kinds they return EST_DEFAULT_NS
- * and a failure rate of 0.
+ * Kinds with a histogram of their own.  All further kinds, and those with
+ * names of 64 bytes or more, share the kind "*".
  */
 #define EST_KINDS_MAX 1024
 /** Estimate for a kind without observations, ns. */
@@ -47,8 +48,10 @@
  * est_observe() - record the result of a task of @kind
  *
  * The run time of a failed task is ignored.
+ *
+ * Return: true if this is the first kind that shares "*".
  */
-void est_observe (struct est_table *t, struct lv_slice kind, uint64_t run_ns,
+bool est_observe (struct est_table *t, struct lv_slice kind, uint64_t run_ns,
                   bool succeeded);
 
 /** est_quantile() - quantile @q (0 to 1) of the kind's run time, ns. */
--- a/include/lagoonvale/jobtable.h
+++ b/include/lagoonvale/jobtable.h
@@ -57,6 +57,7 @@
  * @run: run number of the last order, unique in the table
  * @runs_until_ns: when its run has ended for certain, by clk_boot(); only used
  * in JTB_UNREACHABLE
+ * @suspect: suspected of crashing its minion; set by the caller
  * @agent: agent of the last order; opaque here
  * @avoid: agent of the last run that did not succeed; opaque here
  */
@@ -70,6 +71,7 @@
   uint64_t run;
   uint64_t placed_ns;
   uint64_t runs_until_ns;
+  bool suspect;
   void *agent;
   void *avoid;
   UT_hash_handle hh;
--- a/include/lagoonvale/lagoonvale.h
+++ b/include/lagoonvale/lagoonvale.h
@@ -14,10 +14,12 @@
  * Clients:   budget
  * Rules:     rules, ruleversion
  * Metrics:   counter, histogram
- * Dispatch:  jobtable, candidate, backlog, steplog, amount, catalog
- * Agents:    runtracker, minion, leasebounds
+ * Dispatch:  jobtable, candidate, backlog, retryafter, steplog, amount
+ * Config:    catalog, confsync, pacer, textpool
+ * Crashes:   crashlog, bulkhead, orderrate
+ * Agents:    runtracker, minion, minionhealth, leasebounds, renewal
  * Discovery: directory, subset
- * Names:     name
+ * Names:     name, nametable
  * Logs:      timeline
  */
 #ifndef LV_LAGOONVALE_H
@@ -27,10 +29,13 @@
 #include "lagoonvale/amount.h"
 #include "lagoonvale/backlog.h"
 #include "lagoonvale/budget.h"
+#include "lagoonvale/bulkhead.h"
 #include "lagoonvale/candidate.h"
 #include "lagoonvale/capacity.h"
 #include "lagoonvale/catalog.h"
+#include "lagoonvale/confsync.h"
 #include "lagoonvale/counter.h"
+#include "lagoonvale/crashlog.h"
 #include "lagoonvale/directory.h"
 #include "lagoonvale/estimate.h"
 #include "lagoonvale/grant.h"
@@ -42,9 +47,15 @@
 #include "lagoonvale/leasebounds.h"
 #include "lagoonvale/ledger.h"
 #include "lagoonvale/minion.h"
+#include "lagoonvale/minionhealth.h"
 #include "lagoonvale/name.h"
+#include "lagoonvale/nametable.h"
+#include "lagoonvale/orderrate.h"
+#include "lagoonvale/pacer.h"
 #include "lagoonvale/placement.h"
 #include "lagoonvale/queue.h"
+#include "lagoonvale/renewal.h"
+#include "lagoonvale/retryafter.h"
 #include "lagoonvale/roster.h"
 #include "lagoonvale/rules.h"
 #include "lagoonvale/ruleversion.h"
@@ -54,6 +65,7 @@
 #include "lagoonvale/steplog.h"
 #include "lagoonvale/submission.h"
 #include "lagoonvale/subset.h"
+#include "lagoonvale/textpool.h"
 #include "lagoonvale/timeline.h"
 #include "lagoonvale/turn.h"
 #include "lagoonvale/usage.h"
--- a/include/lagoonvale/leasebounds.h
+++ b/include/lagoonvale/leasebounds.h
@@ -13,8 +13,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** Interval of an agent's reports to one entry, ns. */
+/** Interval of an agent's reports to an entry that has runs there, or waits
+ * for capacity, ns. */
 #define LBD_REPORT_INTERVAL_NS 125000000ULL
+/** Interval of reports to any other entry, ns: short enough that one answer
+ * may be 100 ms late before the entry must not order (LBD_LATE_MS). */
+#define LBD_IDLE_INTERVAL_NS 200000000ULL
 /** Age of the last confirmed report at which an agent stops an entry's runs,
  * ns: four report intervals.  This time plus the lease is shorter than the
  * time after which a caller that lost its connection resends the job.  */
@@ -38,6 +42,10 @@
  * storm). */
 bool lbd_may_order (uint32_t confirmed_ms);
 
+/** lbd_report_due() - whether an agent that last reported at @reported_ns
+ * reports again; @busy if the entry has runs there or waits for capacity. */
+bool lbd_report_due (uint64_t reported_ns, bool busy, uint64_t now_ns);
+
 /** lbd_is_fresh() - whether @at_ns is less than LBD_CONFIRM_TIMEOUT_NS ago. */
 bool lbd_is_fresh (uint64_t at_ns, uint64_t now_ns);
 
--- a/include/lagoonvale/minion.h
+++ b/include/lagoonvale/minion.h
@@ -72,7 +72,6 @@
  */
 struct mnn_report
 {
-  struct lv_slice id;
   struct lv_slice service;
   uint64_t incarnation;
   uint64_t sequence;
--- a/include/lagoonvale/runtracker.h
+++ b/include/lagoonvale/runtracker.h
@@ -45,6 +45,7 @@
   RTK_REFUSED, /* never started */
   RTK_OLD,     /* never started: the minion knows a higher attempt */
   RTK_STALLED, /* stopped because it made no progress */
+  RTK_CRASHED, /* its minion crashed */
 };
 
 /**
@@ -56,6 +57,8 @@
  * @ordered_ns: when it was added
  * @sent_ns: when the last start or stop was sent, or the stop acknowledged
  * @started_ns: when the minion confirmed the start
+ * @queue: name of its job's queue, owned by the run, NULL if unknown
+ * @expected_failure: failure rate of that queue at all minions, 0 to 1
  * @percent: progress as last listed
  * @progress_ns: when @percent last rose
  * @stalled: stopped because it made no progress
@@ -72,6 +75,8 @@
   uint64_t ordered_ns;
   uint64_t sent_ns;
   uint64_t started_ns;
+  char *queue;
+  double expected_failure;
   uint32_t percent;
   uint64_t progress_ns;
   uint32_t estimate_ms;
@@ -180,8 +185,13 @@
                         const struct rtk_listed_run *running, unsigned count,
                         uint64_t asked_ns, uint64_t now_ns);
 
-/** rtk_end_all() - end all runs as lapsed: the minion can run nothing now. */
-void rtk_end_all (struct rtk_tracker *t);
+/** rtk_any_start_open() - whether the minion may still begin a run that was
+ * ordered: its start has no answer, and no stop of it has one. */
+bool rtk_any_start_open (const struct rtk_tracker *t);
+
+/** rtk_end_all() - end all runs with @outcome: the minion runs none of them.
+ */
+void rtk_end_all (struct rtk_tracker *t, enum rtk_outcome outcome);
 
 /** rtk_tick() - repeat unanswered stops; stop stalled runs. */
 void rtk_tick (struct rtk_tracker *t, uint64_t now_ns);
--- a/include/lagoonvale/subset.h
+++ b/include/lagoonvale/subset.h
@@ -1,10 +1,10 @@
 /**
  * DOC: subset
  *
- * Selects the subset of entries that an agent connects to.  Each agent ranks
- * the entries by a hash of both names (rendezvous hashing): the subset is
- * stable, entries get similar numbers of agents, and a lost entry is replaced
- * by the next in rank.  Pure.
+ * Selects a few of many members: the entries that an agent connects to, the
+ * agents that confined queues may use.  Each chooser ranks the members by a
+ * hash of both names (rendezvous hashing): the subset is stable, members are
+ * chosen equally often, and a lost one is replaced by the next in rank.  Pure.
  */
 #ifndef LV_SUBSET_H
 #define LV_SUBSET_H
@@ -15,13 +15,13 @@
 #include "lagoonvale/slice.h"
 
 /**
- * struct sst_entry - an entry as seen by one agent
+ * struct sst_member - a member as seen by one chooser
  * @rank: from sst_rank()
  * @reachable: it answers
- * @selected: set by sst_select(): connect to it, or keep the connection
+ * @selected: set by sst_select()
  * @priv: owned by the caller
  */
-struct sst_entry
+struct sst_member
 {
   uint64_t rank;
   bool reachable;
@@ -29,16 +29,16 @@
   void *priv;
 };
 
-/** sst_rank() - rank of @entry for @agent; higher is preferred. */
-uint64_t sst_rank (struct lv_slice agent, struct lv_slice entry);
+/** sst_rank() - rank of @member for @chooser; higher is preferred. */
+uint64_t sst_rank (struct lv_slice chooser, struct lv_slice member);
 
 /**
- * sst_select() - sort @entries by rank and set @selected in each
- * @max: number of reachable entries to select
+ * sst_select() - sort @members by rank and set @selected in each
+ * @max: number of reachable members to select
  *
- * Selects in order of rank until @max reachable entries are selected.  So
- * unreachable entries are still retried while the next in rank replace them.
+ * Selects in order of rank until @max reachable members are selected.  So
+ * unreachable ones are still retried while the next in rank replace them.
  */
-void sst_select (struct sst_entry *entries, unsigned count, unsigned max);
+void sst_select (struct sst_member *members, unsigned count, unsigned max);
 
 #endif
--- a/proto/lvproto.x
+++ b/proto/lvproto.x
@@ -184,6 +184,7 @@
 
 const LVP_ENTRIES_MAX = 256;
 const LVP_RUNS_MAX = 4096;
+const LVP_LOST_MAX = 256;
 const LVP_REMOVED_MAX = 256;
 const LVP_PAGE_QUEUES_MAX = 256;
 
@@ -202,6 +203,14 @@
 
 typedef lvp_endpoint lvp_endpoints<LVP_ENTRIES_MAX>;
 
+/* What an entry may order from an agent's backend server.  */
+enum lvp_use
+{
+  LVP_USE_ANY = 0,
+  LVP_USE_NOTHING = 1,		/* it fails what it runs */
+  LVP_USE_PROBE = 2		/* one task */
+};
+
 struct lvp_report
 {
   unsigned hyper stamp_ms;	/* agent's clock; orders echo the newest */
@@ -212,6 +221,9 @@
   lvp_amount total;
   lvp_amount free;
   unsigned int confirmed_ms;	/* age of the newest report that was answered */
+  lvp_use use;
+  unsigned int ratio_permille;	/* actual to declared run time, recent runs */
+  unsigned int ratio_runs;	/* runs of this life of the backend server */
 };
 
 struct lvp_report_res
@@ -226,13 +238,14 @@
   LVP_HOW_DONE = 0,
   LVP_HOW_FAILED = 1,		/* ran, and failed */
   LVP_HOW_STOPPED = 2,		/* ran or may have run, and is stopped */
-  LVP_HOW_LAPSED = 3,		/* its lease lapsed */
+  LVP_HOW_LAPSED = 3,		/* its lease lapsed, or its server left */
   LVP_HOW_NO_ROOM = 4,		/* never started */
   LVP_HOW_REFUSED = 5,		/* never started: the backend server refused */
   LVP_HOW_OLD = 6,		/* never started: the attempt is too low */
   LVP_HOW_LEAVING = 7,		/* never started */
   LVP_HOW_STALE = 8,		/* never started: the order came too late */
-  LVP_HOW_STALLED = 9		/* stopped: it made no progress */
+  LVP_HOW_STALLED = 9,		/* stopped: it made no progress */
+  LVP_HOW_CRASHED = 10		/* its backend server crashed */
 };
 
 struct lvp_end
@@ -250,6 +263,33 @@
   lvp_report report;
 };
 
+/* What became of a backend server whose runs are lost.  */
+enum lvp_fate
+{
+  LVP_FATE_CRASHED = 0,
+  LVP_FATE_SILENT = 1,		/* it does not answer: not known yet */
+  LVP_FATE_SURVIVED = 2		/* it answers again, and had not crashed */
+};
+
+/* A run that was lost with its backend server.  */
+struct lvp_lost_run
+{
+  lvp_name task;
+  lvp_text queue;
+  unsigned int age_ms;		/* see struct crl_run */
+  unsigned int presence_permille;	/* of the queue, see struct blk_young */
+};
+
+/* Sent to every entry that the agent serves, when it happens or at the join, and
+   again once it is known what a silence was; the last started first.  */
+struct lvp_loss
+{
+  unsigned hyper number;	/* rises with each loss seen by the agent */
+  lvp_fate fate;
+  unsigned int ago_ms;
+  lvp_lost_run runs<LVP_LOST_MAX>;
+};
+
 struct lvp_join
 {
   lvp_name name;
@@ -282,6 +322,8 @@
   lvp_amount need;		/* of each task */
   unsigned int estimate_ms;
   lvp_run runs<LVP_TASKS_MAX>;
+  lvp_text queue;
+  unsigned int failure_permille;	/* failure rate of the queue everywhere */
 };
 
 struct lvp_stop
@@ -359,5 +401,6 @@
     lvp_peer LVP_PEER (lvp_peer) = 18;
     /* 19 was a transfer of whole configurations.  */
     lvp_config LVP_CONFIG (lvp_config_req) = 20;
+    void LVP_LOSS (lvp_loss) = 21;
   } = 1;
 } = 0x20004c56;
--- a/src/candidate.c
+++ b/src/candidate.c
@@ -9,6 +9,13 @@
 #define SPREAD_WEIGHT 0.1
 /* Penalty of the candidate to avoid.  */
 #define AVOID_PENALTY 100.0
+/* Penalty of a candidate that may crash, for tasks that need not run there:
+   less than that of one that is several times slower.  */
+#define RISK_PENALTY 2.0
+/* Weight of the utilization for a suspect: what runs beside it is at stake. */
+#define SUSPECT_LOAD_WEIGHT 3.0
+/* Share of the usable candidates that suspects must leave, per cent.  */
+#define USABLE_MIN_PERCENT 66
 
 static double
 utilization (const struct cnd_candidate *c)
@@ -18,20 +25,33 @@
   return 1 - (double)c->free.mcores / c->total.mcores;
 }
 
-/* Cost of candidate I; the lowest is selected.  */
+/* Cost of candidate I of COUNT for TASK; the lowest is selected.  */
 static double
-cost_of (const struct cnd_candidate *c, unsigned i, double spread)
+cost_of (const struct cnd_candidate *c, unsigned i, unsigned count,
+         const struct cnd_task *task)
 {
-  double offset = spread * (i + 1);
-  double cost = c->slowness + LOAD_WEIGHT * utilization (c);
+  double offset = task->spread * count * (i + 1);
+  double load_weight = task->suspect ? SUSPECT_LOAD_WEIGHT : LOAD_WEIGHT;
+  double cost = c->slowness + load_weight * utilization (c);
 
   cost += SPREAD_WEIGHT * (offset - (unsigned)offset);
-  return c->same_domain ? cost - SAME_DOMAIN_BONUS : cost;
+  if (c->same_domain)
+    cost -= SAME_DOMAIN_BONUS;
+  if (c->at_risk && !task->suspect && !task->confined)
+    cost += RISK_PENALTY;
+  return (int)i == task->avoid ? cost + AVOID_PENALTY : cost;
+}
+
+static bool
+may_run (const struct cnd_candidate *c, const struct cnd_task *task)
+{
+  return c->usable && amt_fits (&c->free, &task->need)
+         && !(task->suspect && c->has_suspect);
 }
 
 int
 cnd_select (const struct cnd_candidate *candidates, unsigned count,
-            const struct amt_amount *need, int avoid, double spread)
+            const struct cnd_task *task)
 {
   int best = -1;
   double best_cost = 0;
@@ -41,11 +61,9 @@
     {
       double cost;
 
-      if (!candidates[i].usable || !amt_fits (&candidates[i].free, need))
+      if (!may_run (&candidates[i], task))
         continue;
-      cost = cost_of (&candidates[i], i, spread * count);
-      if ((int)i == avoid)
-        cost += AVOID_PENALTY;
+      cost = cost_of (&candidates[i], i, count, task);
       if (best >= 0 && cost >= best_cost)
         continue;
       best = (int)i;
@@ -54,6 +72,21 @@
   return best;
 }
 
+bool
+cnd_may_lose_one (const struct cnd_candidate *candidates, unsigned count)
+{
+  unsigned total = 0;
+  unsigned usable = 0;
+  unsigned i;
+
+  for (i = 0; i < count; i++)
+    {
+      total += candidates[i].same_service;
+      usable += candidates[i].usable;
+    }
+  return usable > 0 && (usable - 1) * 100 >= total * USABLE_MIN_PERCENT;
+}
+
 static bool
 any_could_fit (const struct cnd_candidate *candidates, unsigned count,
                const struct amt_amount *need, bool usable)
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -29,6 +29,10 @@
   { "lagoonvale_tasks_done_total", "runs ended well", false },
   { "lagoonvale_tasks_again_total", "runs that ended otherwise", false },
   { "lagoonvale_no_room_total", "orders refused for want of room", false },
+  { "lagoonvale_tasks_crashed_total", "runs ended by a crash of their minion",
+    false },
+  { "lagoonvale_tasks_poison_total",
+    "tasks given up because minions crashed under them", false },
   { "lagoonvale_agents", "agents known, also those lost of late", true },
   { "lagoonvale_agents_joined", "agents that take orders", true },
   { "lagoonvale_open_jobs", "jobs that are not answered yet", true },
@@ -67,6 +71,9 @@
     case LVP_ENDS:
       dsp_on_ends (d, conn, xid, args);
       break;
+    case LVP_LOSS:
+      dsp_on_loss (d, conn, args);
+      break;
     case LVP_PEER:
       per_on_peer (&d->peers, conn, xid, args, clk_boot ());
       break;
@@ -196,6 +203,8 @@
   dsp_expire_jobs (d, clk_now ());
   dsp_requeue_lapsed (d, now);
   flt_forget_expired (&d->fleet, now);
+  crl_expire (&d->crashes, clk_now ());
+  dsp_mark_confining (d);
   if (d->jobs.queue != NULL)
     dsp_schedule_placement (d);
   log_load (d, now);
@@ -257,6 +266,8 @@
   d->placement = tevent_create_immediate (mem_ctx);
   jtb_init (&d->jobs, mem_ctx);
   flt_init (&d->fleet, mem_ctx);
+  crl_init (&d->crashes, mem_ctx);
+  blk_init (&d->bulkhead, mem_ctx);
   ctr_init (&d->counters, counter_descs, DSP_COUNTERS);
   hst_init (&d->times, mem_ctx, histogram_descs, DSP_TIMES);
   rc = per_init (&d->peers, mem_ctx, ev, settings->advertise, d->incarnation,
@@ -275,6 +286,8 @@
 {
   jtb_finish (&d->jobs);
   flt_finish (&d->fleet);
+  crl_finish (&d->crashes);
+  blk_finish (&d->bulkhead);
   hst_finish (&d->times);
   gsl_rng_free (d->rng);
 }
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -17,8 +17,10 @@
 
 #include "fleet.h"
 #include "lagoonvale/backlog.h"
+#include "lagoonvale/bulkhead.h"
 #include "lagoonvale/catalog.h"
 #include "lagoonvale/counter.h"
+#include "lagoonvale/crashlog.h"
 #include "lagoonvale/histogram.h"
 #include "lagoonvale/jobtable.h"
 #include "peers.h"
@@ -50,7 +52,7 @@
 /**
  * struct dsp_answer - answer to a job
  * @why: reason for logs and callers, a static string
- * @retry_ms: when to retry, for DSP_REFUSED
+ * @retry_ms: when to retry, for DSP_REFUSED; 0: never as it is
  */
 struct dsp_answer
 {
@@ -94,6 +96,8 @@
   DSP_TASKS_DONE,
   DSP_TASKS_AGAIN,
   DSP_NO_ROOM,
+  DSP_CRASHED,
+  DSP_POISON,
   DSP_AGENTS,
   DSP_AGENTS_JOINED,
   DSP_OPEN_JOBS,
@@ -126,6 +130,8 @@
   struct jtb_table jobs;
   struct bkl_backlog backlog; /* late jobs without any order */
   struct flt_fleet fleet;
+  struct crl_log crashes;       /* times by clk_now() */
+  struct blk_bulkhead bulkhead; /* times by clk_now() */
   struct per_peers peers;
   struct cat_config *config;
   struct dsp_waiter *waiters;
--- a/src/dispatch_agents.c
+++ b/src/dispatch_agents.c
@@ -1,7 +1,6 @@
 #include "dispatch_parts.h"
 
 #include <errno.h>
-#include <stdio.h>
 #include <utlist.h>
 
 #include "lagoonvale/name.h"
@@ -32,27 +31,31 @@
     [LVP_HOW_NO_ROOM] = "no-room", [LVP_HOW_REFUSED] = "refused",
     [LVP_HOW_OLD] = "old",         [LVP_HOW_LEAVING] = "leaving",
     [LVP_HOW_STALE] = "stale",     [LVP_HOW_STALLED] = "stalled",
+    [LVP_HOW_CRASHED] = "crashed",
   };
 
   return (unsigned)how < sizeof names / sizeof names[0] ? names[how] : "?";
 }
 
-void
-dsp_record_step (const struct jtb_task *task, uint32_t count, const char *kind)
+/* Put TASK, whose minion has crashed, back into the queue, or fail its job if
+   the task is poison.  */
+static void
+process_crash (struct dsp_dispatch *d, struct jtb_task *task)
 {
-  struct dsp_caller *caller = task->job->priv;
-  struct slg_step step = {
-    .kind = kind,
-    .at_ms
-    = (uint32_t)(clk_since (clk_now (), task->job->arrived_ns) / CLK_MS),
-    .task = task->index,
-    .count = count,
-    .attempt = task->attempt,
-  };
-
-  snprintf (step.instance, sizeof step.instance, "%.*s", SLG_INSTANCE_MAX - 1,
-            dsp_agent_of (task)->name);
-  slg_add (&caller->steps, caller, &step);
+  const struct crl_task *known = dsp_record_crash_end (d, task);
+  struct jtb_job *job = task->job;
+
+  ctr_add (&d->counters, DSP_CRASHED, 1);
+  log_line (LOGL_INFO, "task-crashed",
+            "job=%s task=%u attempt=%u agent=%s crashes=%u blame=%.2f "
+            "poison=%d",
+            job->id, task->index, task->attempt, dsp_agent_of (task)->name,
+            known->crashes, known->blame, crl_is_poison (known));
+  jtb_requeue (&d->jobs, task, false);
+  if (!crl_is_poison (known))
+    return;
+  ctr_add (&d->counters, DSP_POISON, 1);
+  dsp_fail_job (d, job, "crashes");
 }
 
 static void
@@ -67,8 +70,8 @@
   job = task->job;
   caller = job->priv;
   if (end->how == LVP_HOW_DONE || counts_for_health (end->how))
-    flt_record_run (a, lv_slice_of (caller->queue), end->how == LVP_HOW_DONE,
-                    end->ran_ms, job->estimate_ms, clk_boot ());
+    flt_record_run (&d->fleet, lv_slice_of (caller->queue),
+                    end->how == LVP_HOW_DONE, end->ran_ms, job->estimate_ms);
   if (end->how == LVP_HOW_DONE)
     {
       ctr_add (&d->counters, DSP_TASKS_DONE, 1);
@@ -84,6 +87,13 @@
                    job->id, task->index, task->attempt, a->name,
                    outcome_name (end->how), end->ran_ms);
   dsp_record_step (task, 1, outcome_name (end->how));
+  if (end->how == LVP_HOW_CRASHED)
+    {
+      process_crash (d, task);
+      return;
+    }
+  if (end->how == LVP_HOW_LAPSED)
+    task->suspect = crl_is_suspect (dsp_find_crashes (d, task));
   if (never_started (end->how))
     job->orders--;
   dsp_answer_if_ended (
@@ -272,6 +282,92 @@
   WIR_FREE (lvp_ends, &ends);
 }
 
+static void
+log_loss (const struct flt_agent *a, const lvp_loss *loss)
+{
+  static const char *const events[]
+      = { [LVP_FATE_CRASHED] = "minion-crashed",
+          [LVP_FATE_SILENT] = "minion-lost",
+          [LVP_FATE_SURVIVED] = "minion-survived" };
+  const lvp_lost_run *runs = loss->runs.runs_val;
+  u_int n = loss->runs.runs_len;
+
+  log_line (LOGL_INFO, events[loss->fate],
+            "agent=%s runs=%u youngest=%s queue=%s age_ms=%u ago_ms=%u",
+            a->name, n, n > 0 ? runs[0].task : "-",
+            n > 0 ? runs[0].queue : "-", n > 0 ? runs[0].age_ms : 0,
+            loss->ago_ms);
+}
+
+static bool
+has_poison (const struct dsp_dispatch *d, const struct jtb_job *job)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->count; i++)
+    if (job->tasks[i].state == JTB_WAITING && job->tasks[i].suspect
+        && crl_is_poison (dsp_find_crashes (d, &job->tasks[i])))
+      return true;
+  return false;
+}
+
+/* Answer the jobs that wait with a task that is known to be poison now.  */
+static void
+fail_poison (struct dsp_dispatch *d)
+{
+  struct jtb_job *job;
+  struct jtb_job *next;
+
+  DL_FOREACH_SAFE (d->jobs.queue, job, next)
+  if (has_poison (d, job))
+    {
+      ctr_add (&d->counters, DSP_POISON, 1);
+      dsp_fail_job (d, job, "crashes");
+    }
+}
+
+/* Apply a notice, or what became of the silence that one has told, once each:
+   an agent that joins again sends its recent ones once more.  */
+static void
+apply_loss (struct dsp_dispatch *d, struct flt_agent *a, const lvp_loss *loss)
+{
+  bool first = loss->number > a->loss_number;
+  bool silent = loss->fate == LVP_FATE_SILENT;
+
+  if (!first && (silent || loss->number != a->silence_number))
+    return;
+  log_loss (a, loss);
+  if (!first)
+    dsp_resolve_silence (d, loss);
+  else if (loss->fate != LVP_FATE_SURVIVED)
+    dsp_record_loss (d, loss);
+  if (first)
+    a->loss_number = loss->number;
+  a->silence_number = silent ? loss->number : 0;
+  if (loss->fate == LVP_FATE_CRASHED)
+    fail_poison (d);
+  dsp_mark_confining (d);
+  dsp_schedule_placement (d);
+}
+
+void
+dsp_on_loss (struct dsp_dispatch *d, struct onc_conn *conn, XDR *args)
+{
+  struct flt_agent *a = flt_find_by_conn (&d->fleet, conn);
+  lvp_loss loss;
+
+  if (a == NULL || !WIR_DECODE (lvp_loss, args, &loss))
+    {
+      onc_close (conn, -EPROTO, "loss is malformed or precedes the join");
+      return;
+    }
+  if ((unsigned)loss.fate <= LVP_FATE_SURVIVED)
+    apply_loss (d, a, &loss);
+  else
+    onc_close (conn, -EPROTO, "loss of an unknown kind");
+  WIR_FREE (lvp_loss, &loss);
+}
+
 static void
 mark_agent_lost (struct dsp_dispatch *d, struct flt_agent *a, const char *why)
 {
--- a/src/dispatch_jobs.c
+++ b/src/dispatch_jobs.c
@@ -3,13 +3,18 @@
 #include <talloc.h>
 #include <utlist.h>
 
+#include "lagoonvale/retryafter.h"
 #include "logline.h"
 
 /* Assumed bound of a task's time, its wait included, as a multiple of its
    estimate.  */
 #define RUN_TIME_MARGIN 3
-/* Retry delay for refused callers, ms.  */
-#define DEFAULT_RETRY_MS 1000
+/* Retry delay for callers that another entry can serve at once, ms.  */
+#define RETRY_ELSEWHERE_MS 1000
+/* Retry delay for jobs of a confined queue, ms: until it may be released.  */
+#define RETRY_CONFINED_MS (BLK_RELEASE_NS / CLK_MS)
+/* For jobs that are never accepted as they are.  */
+#define RETRY_NEVER 0
 
 static void
 remove_job (struct dsp_dispatch *d, struct jtb_job *job)
@@ -100,29 +105,58 @@
 
 static void
 answer_job (struct dsp_dispatch *d, struct jtb_job *job,
-            enum dsp_outcome outcome, const char *why)
+            const struct dsp_answer *answer)
 {
   struct dsp_caller caller = *(struct dsp_caller *)job->priv;
-  struct dsp_answer answer = { outcome, why, 0 };
   uint64_t now = clk_now ();
 
-  if (outcome == DSP_REFUSED)
-    answer.retry_ms = DEFAULT_RETRY_MS;
-  log_end (job, caller.queue, outcome, why, now);
-  count_answer (d, &answer);
-  record_end (d, caller.queue, outcome, clk_since (now, job->arrived_ns));
-  caller.answer (&answer, caller.priv);
+  log_end (job, caller.queue, answer->outcome, answer->why, now);
+  count_answer (d, answer);
+  record_end (d, caller.queue, answer->outcome,
+              clk_since (now, job->arrived_ns));
+  caller.answer (answer, caller.priv);
   remove_job (d, job);
 }
 
+static void
+end_job (struct dsp_dispatch *d, struct jtb_job *job, enum dsp_outcome outcome,
+         const char *why)
+{
+  struct dsp_answer answer = { outcome, why, RETRY_NEVER };
+
+  answer_job (d, job, &answer);
+}
+
+/* Answer that JOB, of which nothing has run, is refused.  */
+static void
+refuse_accepted (struct dsp_dispatch *d, struct jtb_job *job, const char *why,
+                 unsigned retry_ms)
+{
+  struct dsp_answer answer = { DSP_REFUSED, why, retry_ms };
+
+  answer_job (d, job, &answer);
+}
+
+static unsigned
+overload_retry_ms (struct dsp_dispatch *d, uint64_t wait_ns)
+{
+  return rta_overload_ms (wait_ns, gsl_rng_uniform (d->rng));
+}
+
 void
 dsp_answer_if_ended (struct dsp_dispatch *d, struct jtb_job *job,
                      enum jtb_job_status status)
 {
   if (status == JTB_COMPLETE)
-    answer_job (d, job, DSP_COMPLETE, "done");
+    end_job (d, job, DSP_COMPLETE, "done");
   else if (status == JTB_FAILED)
-    answer_job (d, job, DSP_FAILED, "attempts");
+    end_job (d, job, DSP_FAILED, "attempts");
+}
+
+void
+dsp_fail_job (struct dsp_dispatch *d, struct jtb_job *job, const char *why)
+{
+  end_job (d, job, DSP_FAILED, why);
 }
 
 /* Refuse late jobs without any order that will not start while their answer
@@ -143,11 +177,26 @@
       continue;
     wait_ns = bkl_expected_wait_ns (&d->backlog, ahead++, now_ns);
     if (now_ns >= until_ns || wait_ns > until_ns - now_ns)
-      answer_job (d, job, DSP_REFUSED, "overload");
+      refuse_accepted (d, job, "overload", overload_retry_ms (d, wait_ns));
   }
   bkl_set_waiting (&d->backlog, ahead > 0, now_ns);
 }
 
+/* Refuse jobs of confined queues without any order while no agent that they
+   may use takes orders: crashed minions are away for longer than callers wait.
+ */
+static void
+refuse_confined (struct dsp_dispatch *d)
+{
+  struct jtb_job *job;
+  struct jtb_job *next;
+
+  DL_FOREACH_SAFE (d->jobs.queue, job, next)
+  if (job->orders == 0 && dsp_is_confined (d, job)
+      && !dsp_any_confining_usable (d, job))
+    refuse_accepted (d, job, "confined", RETRY_CONFINED_MS);
+}
+
 void
 dsp_expire_jobs (struct dsp_dispatch *d, uint64_t now_ns)
 {
@@ -156,17 +205,22 @@
 
   HASH_ITER (hh, d->jobs.jobs, job, next)
   {
-    if (now_ns >= job->deadline_ns)
-      answer_job (d, job, job->orders > 0 ? DSP_GAVE_UP : DSP_REFUSED,
-                  "deadline");
+    if (now_ns < job->deadline_ns)
+      continue;
+    if (job->orders > 0)
+      end_job (d, job, DSP_GAVE_UP, "deadline");
+    else
+      refuse_accepted (d, job, "deadline", overload_retry_ms (d, 0));
   }
   refuse_unmeetable (d, now_ns);
+  refuse_confined (d);
 }
 
 static void
-refuse (struct dsp_dispatch *d, const struct dsp_job *job, const char *why)
+refuse (struct dsp_dispatch *d, const struct dsp_job *job, const char *why,
+        unsigned retry_ms)
 {
-  struct dsp_answer answer = { DSP_REFUSED, why, DEFAULT_RETRY_MS };
+  struct dsp_answer answer = { DSP_REFUSED, why, retry_ms };
 
   log_line (LOGL_INFO, "job-refused", "job=%.*s queue=%s why=%s agents=%u",
             (int)job->id.len, job->id.data, job->queue->name, why,
@@ -206,7 +260,7 @@
 
   if (clk_since (clk_boot (), d->started_ns) < DSP_JOIN_GRACE_NS)
     return true;
-  n = dsp_list_candidates (d, lv_slice_of (job->queue->service));
+  n = dsp_list_candidates (d, lv_slice_of (job->queue->service), false);
   return cnd_any_could_fit (d->candidates, n, &job->need);
 }
 
@@ -238,6 +292,25 @@
   accepted->deadline_ns = clk_now () + timeout_ns;
 }
 
+/* Apply to JOB, which was just accepted, what is known of crashes under its
+   tasks: from another entry, or since it is sent again after its answer.  */
+static void
+apply_known_crashes (struct dsp_dispatch *d, struct jtb_job *job)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->count; i++)
+    {
+      const struct crl_task *known = dsp_find_crashes (d, &job->tasks[i]);
+
+      job->tasks[i].suspect = crl_is_suspect (known);
+      if (!crl_is_poison (known))
+        continue;
+      dsp_fail_job (d, job, "crashes");
+      return;
+    }
+}
+
 void
 dsp_submit (struct dsp_dispatch *d, const struct dsp_job *job)
 {
@@ -253,18 +326,18 @@
     }
   if (!ends_before_shutdown (d, job))
     {
-      refuse (d, job, "leaving");
+      refuse (d, job, "leaving", RETRY_ELSEWHERE_MS);
       return;
     }
   if (!any_agent_could_fit (d, job))
     {
-      refuse (d, job, "no-agent-fits");
+      refuse (d, job, "no-agent-fits", RETRY_NEVER);
       return;
     }
   accepted = jtb_add (&d->jobs, &params, clk_now ());
   if (accepted == NULL)
     {
-      refuse (d, job, "bad-id");
+      refuse (d, job, "bad-id", RETRY_NEVER);
       return;
     }
   caller = talloc_zero (accepted, struct dsp_caller);
@@ -279,6 +352,7 @@
       accepted->id, caller->queue, accepted->count, accepted->need.mcores,
       accepted->estimate_ms, (unsigned long long)(params.target_ns / CLK_MS),
       job->timeout_ms, (unsigned long long)dsp_config_version (d));
+  apply_known_crashes (d, accepted);
   dsp_schedule_placement (d);
 }
 
--- a/src/dispatch_parts.h
+++ b/src/dispatch_parts.h
@@ -2,16 +2,19 @@
  * DOC: dispatch_parts
  *
  * Interfaces between the source files of the dispatcher.  Each file calls only
- * those below it, except for dsp_record_step() of dispatch_agents.c:
+ * those below it:
  *
  *   dispatch.c          start and shutdown, configuration, ticks
  *   dispatch_agents.c   messages of agents: joins, reports, ends of runs
  *   dispatch_jobs.c     jobs from submission to answer
  *   dispatch_place.c    placement of tasks, orders to agents
+ *   dispatch_risk.c     crashes, suspects, confined queues
  */
 #ifndef LV_DISPATCH_PARTS_H
 #define LV_DISPATCH_PARTS_H
 
+#include <stdio.h>
+
 #include "clock.h"
 #include "dispatch.h"
 #include "lagoonvale/steplog.h"
@@ -36,6 +39,15 @@
   return task->agent;
 }
 
+/** dsp_task_name() - write the name of @task, as agents use it. Return: @name.
+ */
+static inline const char *
+dsp_task_name (const struct jtb_task *task, char name[RTK_NAME_MAX])
+{
+  snprintf (name, RTK_NAME_MAX, "%s.%u", task->job->id, task->index);
+  return name;
+}
+
 /** dsp_config_version() - version of the configuration in force, or 0. */
 static inline uint64_t
 dsp_config_version (const struct dsp_dispatch *d)
@@ -43,11 +55,6 @@
   return d->config != NULL ? d->config->version : 0;
 }
 
-/** dsp_record_step() - append a step of @count tasks from @task on to the step
- * log of the job. */
-void dsp_record_step (const struct jtb_task *task, uint32_t count,
-                      const char *kind);
-
 /** dsp_record_time() - record a duration in a histogram with one label. */
 static inline void
 dsp_record_time (struct dsp_dispatch *d, enum dsp_time id, const char *label,
@@ -56,18 +63,52 @@
   hst_observe (&d->times, id, lv_slice_of (label), lv_slice_of (""), ns);
 }
 
+/* dispatch_risk.c */
+
+/** dsp_find_crashes() - what is known of crashes under @task, or NULL. */
+const struct crl_task *dsp_find_crashes (const struct dsp_dispatch *d,
+                                         const struct jtb_task *task);
+/** dsp_record_loss() - record the notice of a crash or a silence. */
+void dsp_record_loss (struct dsp_dispatch *d, const lvp_loss *loss);
+/** dsp_resolve_silence() - record what became of a minion that was silent. */
+void dsp_resolve_silence (struct dsp_dispatch *d, const lvp_loss *loss);
+/**
+ * dsp_record_crash_end() - record that the run of @task ended by a crash,
+ * unless a notice has told it since it was placed
+ *
+ * Return: what is known of crashes under it now.
+ */
+const struct crl_task *dsp_record_crash_end (struct dsp_dispatch *d,
+                                             struct jtb_task *task);
+/** dsp_count_suspects() - count the suspects that run at each agent. */
+void dsp_count_suspects (struct dsp_dispatch *d);
+/** dsp_mark_confining() - mark the agents that confined queues may use. */
+void dsp_mark_confining (struct dsp_dispatch *d);
+/** dsp_is_confined() - whether @job may only use the agents marked so. */
+bool dsp_is_confined (const struct dsp_dispatch *d, const struct jtb_job *job);
+/** dsp_any_confining_usable() - whether an agent marked so takes orders of
+ * @job. */
+bool dsp_any_confining_usable (const struct dsp_dispatch *d,
+                               const struct jtb_job *job);
+
 /* dispatch_place.c */
 
+/** dsp_record_step() - append a step of @count tasks from @task on to the step
+ * log of the job. */
+void dsp_record_step (const struct jtb_task *task, uint32_t count,
+                      const char *kind);
 /** dsp_schedule_placement() - place waiting tasks in the next loop iteration.
  */
 void dsp_schedule_placement (struct dsp_dispatch *d);
 /**
  * dsp_list_candidates() - fill @candidates and @candidate_agents of @d for
  * tasks of @service
+ * @confined: only agents marked by dsp_mark_confining() are usable
  *
  * Return: number of candidates.
  */
-unsigned dsp_list_candidates (struct dsp_dispatch *d, struct lv_slice service);
+unsigned dsp_list_candidates (struct dsp_dispatch *d, struct lv_slice service,
+                              bool confined);
 /** dsp_stop_runs() - send stops for all placed tasks of @job. */
 void dsp_stop_runs (struct dsp_dispatch *d, struct jtb_job *job);
 
@@ -76,6 +117,9 @@
 /** dsp_answer_if_ended() - answer @job if it is complete or failed. */
 void dsp_answer_if_ended (struct dsp_dispatch *d, struct jtb_job *job,
                           enum jtb_job_status status);
+/** dsp_fail_job() - answer @job as failed, and stop what runs of it. */
+void dsp_fail_job (struct dsp_dispatch *d, struct jtb_job *job,
+                   const char *why);
 /** dsp_expire_jobs() - answer jobs past their deadline, refuse jobs that
  * cannot start in time. */
 void dsp_expire_jobs (struct dsp_dispatch *d, uint64_t now_ns);
@@ -95,6 +139,9 @@
 /** dsp_on_ends() - handle and answer a report that carries run ends. */
 void dsp_on_ends (struct dsp_dispatch *d, struct onc_conn *conn, uint32_t xid,
                   XDR *args);
+/** dsp_on_loss() - handle the notice that runs are lost with the minion of an
+ * agent, or what became of it. */
+void dsp_on_loss (struct dsp_dispatch *d, struct onc_conn *conn, XDR *args);
 /** dsp_on_closed() - mark the agent of a closed connection as lost. */
 void dsp_on_closed (struct onc_conn *conn, const struct err_error *err,
                     void *priv);
--- a/src/dispatch_place.c
+++ b/src/dispatch_place.c
@@ -1,5 +1,6 @@
 #include "dispatch_parts.h"
 
+#include <stdio.h>
 #include <string.h>
 #include <talloc.h>
 #include <utlist.h>
@@ -9,9 +10,25 @@
 
 /* Shortest interval between announcements of waiting work to agents, ns.  */
 #define DEMAND_INTERVAL_NS (20 * CLK_MS)
-/* Services that can be blocked in one placement pass; at the next one that
-   would be blocked, the pass ends.  */
-#define SERVICES_MAX 32
+#define PERMILLE 1000
+
+void
+dsp_record_step (const struct jtb_task *task, uint32_t count, const char *kind)
+{
+  struct dsp_caller *caller = task->job->priv;
+  struct slg_step step = {
+    .kind = kind,
+    .at_ms
+    = (uint32_t)(clk_since (clk_now (), task->job->arrived_ns) / CLK_MS),
+    .task = task->index,
+    .count = count,
+    .attempt = task->attempt,
+  };
+
+  snprintf (step.instance, sizeof step.instance, "%.*s", SLG_INSTANCE_MAX - 1,
+            dsp_agent_of (task)->name);
+  slg_add (&caller->steps, caller, &step);
+}
 
 void
 dsp_stop_runs (struct dsp_dispatch *d, struct jtb_job *job)
@@ -38,11 +55,23 @@
   }
 }
 
+static struct cnd_candidate
+make_candidate (const struct dsp_dispatch *d, const struct flt_agent *a,
+                struct lv_slice service, bool confined)
+{
+  struct cnd_candidate c
+      = flt_candidate (a, service, d->set.domain, clk_boot ());
+
+  if (confined && !a->confining)
+    c.usable = false;
+  return c;
+}
+
 unsigned
-dsp_list_candidates (struct dsp_dispatch *d, struct lv_slice service)
+dsp_list_candidates (struct dsp_dispatch *d, struct lv_slice service,
+                     bool confined)
 {
   struct flt_agent *a;
-  uint64_t now = clk_boot ();
   unsigned n = 0;
 
   if (d->fleet.count > d->candidate_cap)
@@ -57,7 +86,7 @@
   DL_FOREACH (d->fleet.agents, a)
   {
     d->candidate_agents[n] = a;
-    d->candidates[n++] = flt_candidate (a, service, d->set.domain, now);
+    d->candidates[n++] = make_candidate (d, a, service, confined);
   }
   return n;
 }
@@ -79,12 +108,18 @@
             lvp_run *runs, unsigned count)
 {
   struct lv_slice spec = { job->spec, job->spec_len };
+  char *queue = ((struct dsp_caller *)job->priv)->queue;
   lvp_order order = { .stamp_ms = a->stamp_ms,
                       .job = job->id,
                       .spec = wir_bytes (spec),
                       .need = wir_amount (&job->need),
                       .estimate_ms = job->estimate_ms,
-                      .runs = { count, runs } };
+                      .runs = { count, runs },
+                      .queue = queue,
+                      .failure_permille
+                      = (u_int)(PERMILLE
+                                * est_failure_rate (&d->fleet.estimates,
+                                                    lv_slice_of (queue))) };
 
   flt_record_order (a, &job->need, count);
   ctr_add (&d->counters, DSP_ORDERS, count);
@@ -129,10 +164,30 @@
   talloc_free (runs);
 }
 
+/* Select one of the N candidates for TASK.  Return: its index, or -1.  */
+static int
+select_candidate (struct dsp_dispatch *d, const struct jtb_task *task,
+                  unsigned n, bool confined)
+{
+  struct cnd_task wanted = { .need = task->job->need,
+                             .avoid = candidate_index (d, n, task->avoid),
+                             .spread = gsl_rng_uniform (d->rng),
+                             .suspect = task->suspect,
+                             .confined = confined };
+
+  if (task->suspect && crl_must_wait (dsp_find_crashes (d, task)))
+    return -1;
+  if (task->suspect && crl_is_alert (&d->crashes, clk_now ())
+      && !cnd_may_lose_one (d->candidates, n))
+    return -1;
+  return cnd_select (d->candidates, n, &wanted);
+}
+
 /* Place waiting tasks of JOB at the N candidates of its service.  Return:
-   whether all of them fit.  */
+   whether all of them fit, except for suspects, which nobody waits for.  */
 static bool
-place_job (struct dsp_dispatch *d, struct jtb_job *job, unsigned n)
+place_job (struct dsp_dispatch *d, struct jtb_job *job, unsigned n,
+           bool confined)
 {
   uint64_t first_run = d->jobs.next_run;
   uint64_t now = clk_now ();
@@ -143,22 +198,24 @@
   for (i = 0; i < job->count && waiting > 0; i++)
     {
       struct jtb_task *task = &job->tasks[i];
+      struct flt_agent *a;
       int at;
 
       if (task->state != JTB_WAITING)
         continue;
-      at = cnd_select (d->candidates, n, &job->need,
-                       candidate_index (d, n, task->avoid),
-                       gsl_rng_uniform (d->rng));
-      if (at < 0)
+      at = select_candidate (d, task, n, confined);
+      if (at < 0 && !task->suspect)
         break;
       waiting--;
-      jtb_place (&d->jobs, task, d->candidate_agents[at], now);
-      amt_subtract (&d->candidate_agents[at]->free, &job->need);
-      hlt_probe (&d->candidate_agents[at]->health);
+      if (at < 0)
+        continue;
+      a = d->candidate_agents[at];
+      jtb_place (&d->jobs, task, a, now);
+      amt_subtract (&a->free, &job->need);
+      a->probe = false;
+      a->suspects += task->suspect;
       d->candidates[at]
-          = flt_candidate (d->candidate_agents[at], lv_slice_of (job->service),
-                           d->set.domain, clk_boot ());
+          = make_candidate (d, a, lv_slice_of (job->service), confined);
     }
   if (was_in_backlog && job->orders > 0)
     bkl_record_served (&d->backlog, now);
@@ -184,52 +241,76 @@
               NULL);
 }
 
-/* Services whose first waiting job does not fit.  */
+/* A service whose first waiting job does not fit, apart for jobs of confined
+   queues.  */
+struct blocked_service
+{
+  const char *service;
+  bool confined;
+};
+
+/* Those of one placement pass, a talloc array.  */
 struct blocked_services
 {
-  const char *service[SERVICES_MAX];
+  struct blocked_service *item;
   unsigned count;
 };
 
 static bool
-is_blocked (const struct blocked_services *blocked, const char *service)
+is_blocked (const struct blocked_services *blocked, const char *service,
+            bool confined)
 {
   unsigned i;
 
   for (i = 0; i < blocked->count; i++)
-    if (strcmp (blocked->service[i], service) == 0)
+    if (blocked->item[i].confined == confined
+        && strcmp (blocked->item[i].service, service) == 0)
       return true;
   return false;
 }
 
+static void
+block (struct blocked_services *blocked, const char *service, bool confined)
+{
+  struct blocked_service new = { service, confined };
+
+  blocked->item = talloc_realloc (NULL, blocked->item, struct blocked_service,
+                                  blocked->count + 1);
+  blocked->item[blocked->count++] = new;
+}
+
 /* Place waiting tasks in queue order.  A job that does not fit now, but could
    later, blocks the jobs behind it of the same service: small tasks would take
    all resources that become free, and large ones would starve.  */
 static void
 place_waiting (struct dsp_dispatch *d)
 {
-  struct blocked_services blocked = { .count = 0 };
+  struct blocked_services blocked = { NULL, 0 };
   const char *service = "";
+  bool listed_confined = false;
   struct jtb_job *job;
   struct jtb_job *next;
   unsigned count = 0;
 
   jtb_demote_late (&d->jobs, clk_now ());
+  dsp_count_suspects (d);
   DL_FOREACH_SAFE (d->jobs.queue, job, next)
   {
-    if (is_blocked (&blocked, job->service))
+    bool confined = dsp_is_confined (d, job);
+
+    if (is_blocked (&blocked, job->service, confined))
       continue;
-    if (strcmp (service, job->service) != 0)
-      count = dsp_list_candidates (d, lv_slice_of (job->service));
+    if (strcmp (service, job->service) != 0 || confined != listed_confined)
+      count = dsp_list_candidates (d, lv_slice_of (job->service), confined);
     service = job->service;
-    if (place_job (d, job, count)
+    listed_confined = confined;
+    if (place_job (d, job, count, confined)
         || !cnd_usable_could_fit (d->candidates, count, &job->need))
       continue;
     job->reserving = cnd_is_large (d->candidates, count, &job->need);
-    if (blocked.count == SERVICES_MAX)
-      break;
-    blocked.service[blocked.count++] = job->service;
+    block (&blocked, job->service, confined);
   }
+  talloc_free (blocked.item);
   if (d->jobs.queue != NULL)
     announce_demand (d);
 }
--- a/src/entry_dispatch.c
+++ b/src/entry_dispatch.c
@@ -47,7 +47,9 @@
 
   if (out->status != LVP_OK && out->status != LVP_TASK_FAILED)
     return;
-  est_observe (&e->estimates, kind, out->run_ns, succeeded);
+  if (est_observe (&e->estimates, kind, out->run_ns, succeeded))
+    log_line (LOGL_WARN, "estimates-shared", "kind=%.*s own=%d", (int)kind.len,
+              kind.data, EST_KINDS_MAX);
   if (!hlt_observe (worker ? &e->worker_fleet : &e->fleet, health, succeeded,
                     est_failure_rate (&e->estimates, kind), clk_now ()))
     return;
@@ -327,7 +329,8 @@
   rec->progress_ns = now_ns;
   ent_usage_add (e, team_of (rec), lv_slice_of (task->spec->kind), 1);
   hlt_probe (ent_needs_worker (task->spec) ? &link->worker_health
-                                           : &link->health);
+                                           : &link->health,
+             clk_now ());
   ctr_add (&e->counters, ENT_STARTS, 1);
   log_placement (link, task, clk_since (now_ns, task->item.stamp_ns));
   if (onc_call (link->conn, LVP_START, (xdrproc_t)xdr_lvp_start, &msg,
--- a/src/estimate.c
+++ b/src/estimate.c
@@ -58,6 +58,21 @@
   return k;
 }
 
+/* Whether NAME, which is not in the table, shares the overflow kind.  */
+static bool
+overflows (const struct est_table *t, struct lv_slice name)
+{
+  return name.len >= NAME_BYTES || t->kind_count >= EST_KINDS_MAX;
+}
+
+static const struct est_kind *
+look_up (const struct est_table *t, struct lv_slice name)
+{
+  const struct est_kind *k = find (t, name);
+
+  return k == NULL && overflows (t, name) ? find (t, overflow_kind) : k;
+}
+
 static struct est_kind *
 ensure_kind (struct est_table *t, struct lv_slice name)
 {
@@ -65,12 +80,13 @@
 
   if (k != NULL)
     return k;
-  if (name.len >= NAME_BYTES || t->kind_count >= EST_KINDS_MAX)
+  if (overflows (t, name))
     {
       k = find (t, overflow_kind);
       if (k != NULL)
         return k;
       name = overflow_kind;
+      t->shared = true;
     }
   k = talloc_zero (t->mem_ctx, struct est_kind);
   if (k == NULL)
@@ -101,18 +117,9 @@
   return (uint64_t)exp2 (FIRST_OCTAVE + (bucket + 0.5) / PER_OCTAVE);
 }
 
-void
-est_observe (struct est_table *t, struct lv_slice kind, uint64_t run_ns,
-             bool succeeded)
+static void
+record_time (struct est_kind *k, uint64_t run_ns)
 {
-  struct est_kind *k = ensure_kind (t, kind);
-
-  if (k == NULL)
-    return;
-  k->failure_rate
-      += FAILURE_WEIGHT * ((succeeded ? 0.0 : 1.0) - k->failure_rate);
-  if (!succeeded)
-    return;
   if (k->total >= DECAY_TOTAL)
     {
       for (unsigned i = 0; i < BUCKETS; i++)
@@ -125,10 +132,26 @@
   k->sum_ns += (double)run_ns;
 }
 
+bool
+est_observe (struct est_table *t, struct lv_slice kind, uint64_t run_ns,
+             bool succeeded)
+{
+  bool shared = t->shared;
+  struct est_kind *k = ensure_kind (t, kind);
+
+  if (k == NULL)
+    return false;
+  k->failure_rate
+      += FAILURE_WEIGHT * ((succeeded ? 0.0 : 1.0) - k->failure_rate);
+  if (succeeded)
+    record_time (k, run_ns);
+  return t->shared != shared;
+}
+
 uint64_t
 est_quantile (const struct est_table *t, struct lv_slice kind, double q)
 {
-  const struct est_kind *k = find (t, kind);
+  const struct est_kind *k = look_up (t, kind);
   double below = 0;
 
   if (k == NULL || k->total < 1)
@@ -145,7 +168,7 @@
 uint64_t
 est_mean (const struct est_table *t, struct lv_slice kind)
 {
-  const struct est_kind *k = find (t, kind);
+  const struct est_kind *k = look_up (t, kind);
 
   if (k == NULL || k->total < 1)
     return EST_DEFAULT_NS;
@@ -155,7 +178,7 @@
 double
 est_failure_rate (const struct est_table *t, struct lv_slice kind)
 {
-  const struct est_kind *k = find (t, kind);
+  const struct est_kind *k = look_up (t, kind);
 
   return k != NULL ? k->failure_rate : 0;
 }
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -11,9 +11,12 @@
 
 /* Time for which a lost agent is kept after its runs have ended, ns.  */
 #define FORGET_NS (60 * CLK_S)
-/* Weights of a new sample in the exponential moving averages.  */
-#define AGENT_WEIGHT 0.1
+/* Weight of a new sample in the exponential moving average.  */
 #define FLEET_WEIGHT 0.02
+#define PERMILLE 1000
+/* Runs at the ratio of the fleet that are reckoned with for each agent: a few
+   runs of its own prove little.  */
+#define RATIO_PRIOR_RUNS 20
 /* Bounds of an agent's relative run time.  */
 #define SLOWNESS_MIN 0.5
 #define SLOWNESS_MAX 8.0
@@ -30,7 +33,7 @@
 static void
 remove_agent (struct flt_fleet *f, struct flt_agent *a)
 {
-  hlt_remove (&f->health, &a->health);
+  f->ejected -= a->ejected;
   DL_DELETE (f->agents, a);
   f->count--;
   talloc_free (a);
@@ -69,7 +72,6 @@
   snprintf (a->name, sizeof a->name, "%s", name);
   DL_APPEND (f->agents, a);
   f->count++;
-  f->health.targets++;
   return a;
 }
 
@@ -87,6 +89,8 @@
   snprintf (a->domain, sizeof a->domain, "%s", join->domain);
   talloc_free (a->service);
   a->service = talloc_strdup (a, join->service);
+  if (a->incarnation != join->incarnation)
+    a->loss_number = a->silence_number = 0;
   a->incarnation = join->incarnation;
   a->orders = 0;
   a->pending_count = 0;
@@ -95,6 +99,27 @@
   return a;
 }
 
+/* Take over what A's agent says of its minion's health.  What it says is not
+   followed while HLT_EJECT_SHARE of the agents are ejected already.  */
+static void
+apply_health (struct flt_agent *a, const lvp_report *report)
+{
+  struct flt_fleet *f = a->fleet;
+  bool ejected = report->use != LVP_USE_ANY;
+
+  a->ratio = (report->ratio_permille / (double)PERMILLE * report->ratio_runs
+              + f->ratio * RATIO_PRIOR_RUNS)
+             / ((double)report->ratio_runs + RATIO_PRIOR_RUNS);
+  a->probe = report->use == LVP_USE_PROBE;
+  if (ejected == a->ejected
+      || (ejected && f->ejected + 1 > HLT_EJECT_SHARE * f->count))
+    return;
+  a->ejected = ejected;
+  f->ejected += ejected ? 1 : -1U;
+  log_line (LOGL_INFO, "agent-health", "agent=%s state=%s ratio=%.2f", a->name,
+            ejected ? "ejected" : "fit", a->ratio);
+}
+
 uint64_t
 flt_apply_report (struct flt_agent *a, const lvp_report *report,
                   uint64_t now_ns)
@@ -112,6 +137,7 @@
   a->accepting = report->accepting;
   a->total = wir_to_amount (&report->total);
   a->free = wir_to_amount (&report->free);
+  apply_health (a, report);
   while (a->pending_count > 0
          && a->pending[a->pending_first].order <= report->orders)
     {
@@ -166,28 +192,15 @@
   a->pending_count++;
 }
 
-static void
-smooth (double *value, double sample, double weight)
-{
-  *value += (sample - *value) * weight;
-}
-
 void
-flt_record_run (struct flt_agent *a, struct lv_slice queue, bool ok,
-                uint32_t ran_ms, uint32_t estimate_ms, uint64_t now_ns)
+flt_record_run (struct flt_fleet *f, struct lv_slice queue, bool ok,
+                uint32_t ran_ms, uint32_t estimate_ms)
 {
-  struct flt_fleet *f = a->fleet;
-  double expected = est_failure_rate (&f->estimates, queue);
-
-  est_observe (&f->estimates, queue, ran_ms * CLK_MS, ok);
+  if (est_observe (&f->estimates, queue, ran_ms * CLK_MS, ok))
+    log_line (LOGL_WARN, "estimates-shared", "queue=%.*s own=%d",
+              (int)queue.len, queue.data, EST_KINDS_MAX);
   if (ok && estimate_ms > 0)
-    {
-      smooth (&a->ratio, (double)ran_ms / estimate_ms, AGENT_WEIGHT);
-      smooth (&f->ratio, (double)ran_ms / estimate_ms, FLEET_WEIGHT);
-    }
-  if (hlt_observe (&f->health, &a->health, ok, expected, now_ns))
-    log_line (LOGL_INFO, "agent-health", "agent=%s state=%s blame=%.2f",
-              a->name, hlt_name (a->health.state), a->health.blame);
+    f->ratio += ((double)ran_ms / estimate_ms - f->ratio) * FLEET_WEIGHT;
 }
 
 static double
@@ -209,11 +222,12 @@
   c.same_service = lv_slice_eq (lv_slice_of (a->service), service);
   c.usable = c.same_service && flt_accepts_orders (a) && a->synced
              && lbd_is_fresh (a->last_report_ns, now_ns)
-             && lbd_may_order (a->confirmed_ms)
-             && hlt_usable (&a->health, now_ns);
+             && lbd_may_order (a->confirmed_ms) && (!a->ejected || a->probe);
   c.same_domain = strcmp (a->domain, domain) == 0;
   c.total = a->total;
   c.free = a->free;
   c.slowness = slowness (a);
+  c.has_suspect = a->suspects > 0;
+  c.at_risk = c.has_suspect || a->confining;
   return c;
 }
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -42,7 +42,13 @@
  * @runs_end_by_ns: while lost: when all its runs have ended for certain
  * @orders: sent on this connection
  * @pending: ring buffer of orders that it has not reported as received
- * @ratio: smoothed ratio of actual to declared run time
+ * @ratio: smoothed ratio of actual to declared run time, as the agent reports
+ * @ejected: its minion fails what it runs; gets nothing but probes
+ * @probe: while ejected: one task may be ordered, since its last report
+ * @loss_number: of the newest notice of a loss, by this incarnation of it
+ * @silence_number: of its notice of a silence of which no more is known, or 0
+ * @suspects: runs of this entry there that are suspected of crashing it
+ * @confining: kept for queues whose tasks crash their minions
  */
 struct flt_agent
 {
@@ -66,13 +72,19 @@
   unsigned pending_first;
   unsigned pending_count;
   double ratio;
-  struct hlt_target health;
+  bool ejected;
+  bool probe;
+  uint64_t loss_number;
+  uint64_t silence_number;
+  unsigned suspects;
+  bool confining;
   struct flt_agent *prev;
   struct flt_agent *next;
 };
 
 /**
  * struct flt_fleet - caller-owned
+ * @ejected: number of agents that are ejected, at most HLT_EJECT_SHARE
  * @estimates: run time and failure rate, by name of the queue
  * @ratio: smoothed ratio of actual to declared run time, of all agents
  */
@@ -81,7 +93,7 @@
   void *mem_ctx;
   struct flt_agent *agents;
   unsigned count;
-  struct hlt_fleet health;
+  unsigned ejected;
   struct est_table estimates;
   double ratio;
 };
@@ -124,11 +136,11 @@
                        uint32_t count);
 
 /**
- * flt_record_run() - record a run that ended at @agent
+ * flt_record_run() - record a run that has ended
  * @ok: it succeeded
  */
-void flt_record_run (struct flt_agent *agent, struct lv_slice queue, bool ok,
-                     uint32_t ran_ms, uint32_t estimate_ms, uint64_t now_ns);
+void flt_record_run (struct flt_fleet *f, struct lv_slice queue, bool ok,
+                     uint32_t ran_ms, uint32_t estimate_ms);
 
 /** flt_accepts_orders() - whether @agent is connected and takes orders. */
 static inline bool
--- a/src/health.c
+++ b/src/health.c
@@ -4,6 +4,9 @@
 
 /* Blame at which a target is ejected.  */
 #define EJECT_BLAME 3.0
+/* Blame of a target that is readmitted: it may fail a part of its tasks only,
+   so one more failure soon ejects it again.  */
+#define PROBATION_BLAME 2.0
 /* Share by which each success reduces the blame.  */
 #define BLAME_DECAY 0.25
 
@@ -18,7 +21,7 @@
 static bool
 may_eject (const struct hlt_fleet *f)
 {
-  return f->ejected + 1 <= HLT_EJECT_SHARE * f->targets;
+  return f == NULL || f->ejected + 1 <= HLT_EJECT_SHARE * f->targets;
 }
 
 static void
@@ -37,8 +40,10 @@
   t->blame *= 1 - BLAME_DECAY;
   if (t->state == HLT_FIT)
     return false;
-  f->ejected--;
+  if (f != NULL)
+    f->ejected--;
   memset (t, 0, sizeof *t);
+  t->blame = PROBATION_BLAME;
   return true;
 }
 
@@ -56,7 +61,8 @@
     }
   if (t->state != HLT_FIT || t->blame < EJECT_BLAME || !may_eject (f))
     return false;
-  f->ejected++;
+  if (f != NULL)
+    f->ejected++;
   eject (t, now_ns);
   return true;
 }
@@ -64,15 +70,16 @@
 bool
 hlt_usable (const struct hlt_target *t, uint64_t now_ns)
 {
-  return t->state == HLT_FIT
-         || (t->state == HLT_EJECTED && now_ns >= t->probe_at_ns);
+  return t->state == HLT_FIT || now_ns >= t->probe_at_ns;
 }
 
 void
-hlt_probe (struct hlt_target *t)
+hlt_probe (struct hlt_target *t, uint64_t now_ns)
 {
-  if (t->state == HLT_EJECTED)
-    t->state = HLT_PROBING;
+  if (t->state == HLT_FIT)
+    return;
+  t->state = HLT_PROBING;
+  t->probe_at_ns = now_ns + t->probe_ns;
 }
 
 void
--- a/src/leasebounds.c
+++ b/src/leasebounds.c
@@ -6,6 +6,14 @@
   return now_ns < at_ns + LBD_CONFIRM_TIMEOUT_NS;
 }
 
+bool
+lbd_report_due (uint64_t reported_ns, bool busy, uint64_t now_ns)
+{
+  uint64_t interval_ns = busy ? LBD_REPORT_INTERVAL_NS : LBD_IDLE_INTERVAL_NS;
+
+  return now_ns >= reported_ns + interval_ns;
+}
+
 bool
 lbd_may_order (uint32_t confirmed_ms)
 {
--- a/src/lvproto.h
+++ b/src/lvproto.h
@@ -217,6 +217,7 @@
 typedef struct lvp_sync_res lvp_sync_res;
 #define LVP_ENTRIES_MAX 256
 #define LVP_RUNS_MAX 4096
+#define LVP_LOST_MAX 256
 #define LVP_REMOVED_MAX 256
 #define LVP_PAGE_QUEUES_MAX 256
 
@@ -238,6 +239,13 @@
 	lvp_endpoint *lvp_endpoints_val;
 } lvp_endpoints;
 
+enum lvp_use {
+	LVP_USE_ANY = 0,
+	LVP_USE_NOTHING = 1,
+	LVP_USE_PROBE = 2,
+};
+typedef enum lvp_use lvp_use;
+
 struct lvp_report {
 	u_quad_t stamp_ms;
 	bool_t synced;
@@ -247,6 +255,9 @@
 	lvp_amount total;
 	lvp_amount free;
 	u_int confirmed_ms;
+	lvp_use use;
+	u_int ratio_permille;
+	u_int ratio_runs;
 };
 typedef struct lvp_report lvp_report;
 
@@ -268,6 +279,7 @@
 	LVP_HOW_LEAVING = 7,
 	LVP_HOW_STALE = 8,
 	LVP_HOW_STALLED = 9,
+	LVP_HOW_CRASHED = 10,
 };
 typedef enum lvp_how lvp_how;
 
@@ -289,6 +301,32 @@
 };
 typedef struct lvp_ends lvp_ends;
 
+enum lvp_fate {
+	LVP_FATE_CRASHED = 0,
+	LVP_FATE_SILENT = 1,
+	LVP_FATE_SURVIVED = 2,
+};
+typedef enum lvp_fate lvp_fate;
+
+struct lvp_lost_run {
+	lvp_name task;
+	lvp_text queue;
+	u_int age_ms;
+	u_int presence_permille;
+};
+typedef struct lvp_lost_run lvp_lost_run;
+
+struct lvp_loss {
+	u_quad_t number;
+	lvp_fate fate;
+	u_int ago_ms;
+	struct {
+		u_int runs_len;
+		lvp_lost_run *runs_val;
+	} runs;
+};
+typedef struct lvp_loss lvp_loss;
+
 struct lvp_join {
 	lvp_name name;
 	u_quad_t incarnation;
@@ -326,6 +364,8 @@
 		u_int runs_len;
 		lvp_run *runs_val;
 	} runs;
+	lvp_text queue;
+	u_int failure_permille;
 };
 typedef struct lvp_order lvp_order;
 
@@ -448,6 +488,9 @@
 #define LVP_CONFIG 20
 extern  lvp_config * lvp_config_1(lvp_config_req , CLIENT *);
 extern  lvp_config * lvp_config_1_svc(lvp_config_req , struct svc_req *);
+#define LVP_LOSS 21
+extern  void * lvp_loss_1(lvp_loss , CLIENT *);
+extern  void * lvp_loss_1_svc(lvp_loss , struct svc_req *);
 extern int lvp_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -508,6 +551,9 @@
 #define LVP_CONFIG 20
 extern  lvp_config * lvp_config_1();
 extern  lvp_config * lvp_config_1_svc();
+#define LVP_LOSS 21
+extern  void * lvp_loss_1();
+extern  void * lvp_loss_1_svc();
 extern int lvp_prog_1_freeresult ();
 #endif /* K&R C */
 
@@ -542,12 +588,16 @@
 extern  bool_t xdr_lvp_amount (XDR *, lvp_amount*);
 extern  bool_t xdr_lvp_endpoint (XDR *, lvp_endpoint*);
 extern  bool_t xdr_lvp_endpoints (XDR *, lvp_endpoints*);
+extern  bool_t xdr_lvp_use (XDR *, lvp_use*);
 extern  bool_t xdr_lvp_report (XDR *, lvp_report*);
 extern  bool_t xdr_lvp_report_res (XDR *, lvp_report_res*);
 extern  bool_t xdr_lvp_how (XDR *, lvp_how*);
 extern  bool_t xdr_lvp_end (XDR *, lvp_end*);
 extern  bool_t xdr_lvp_end_list (XDR *, lvp_end_list*);
 extern  bool_t xdr_lvp_ends (XDR *, lvp_ends*);
+extern  bool_t xdr_lvp_fate (XDR *, lvp_fate*);
+extern  bool_t xdr_lvp_lost_run (XDR *, lvp_lost_run*);
+extern  bool_t xdr_lvp_loss (XDR *, lvp_loss*);
 extern  bool_t xdr_lvp_join (XDR *, lvp_join*);
 extern  bool_t xdr_lvp_join_res (XDR *, lvp_join_res*);
 extern  bool_t xdr_lvp_run (XDR *, lvp_run*);
@@ -587,12 +637,16 @@
 extern bool_t xdr_lvp_amount ();
 extern bool_t xdr_lvp_endpoint ();
 extern bool_t xdr_lvp_endpoints ();
+extern bool_t xdr_lvp_use ();
 extern bool_t xdr_lvp_report ();
 extern bool_t xdr_lvp_report_res ();
 extern bool_t xdr_lvp_how ();
 extern bool_t xdr_lvp_end ();
 extern bool_t xdr_lvp_end_list ();
 extern bool_t xdr_lvp_ends ();
+extern bool_t xdr_lvp_fate ();
+extern bool_t xdr_lvp_lost_run ();
+extern bool_t xdr_lvp_loss ();
 extern bool_t xdr_lvp_join ();
 extern bool_t xdr_lvp_join_res ();
 extern bool_t xdr_lvp_run ();
--- a/src/lvproto_xdr.c
+++ b/src/lvproto_xdr.c
@@ -462,6 +462,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_lvp_use (XDR *xdrs, lvp_use *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_lvp_report (XDR *xdrs, lvp_report *objp)
 {
@@ -483,6 +493,12 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->confirmed_ms))
 		 return FALSE;
+	 if (!xdr_lvp_use (xdrs, &objp->use))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ratio_permille))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ratio_runs))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -547,6 +563,49 @@
 	return TRUE;
 }
 
+bool_t
+xdr_lvp_fate (XDR *xdrs, lvp_fate *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lvp_lost_run (XDR *xdrs, lvp_lost_run *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_lvp_name (xdrs, &objp->task))
+		 return FALSE;
+	 if (!xdr_lvp_text (xdrs, &objp->queue))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->presence_permille))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_lvp_loss (XDR *xdrs, lvp_loss *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_lvp_fate (xdrs, &objp->fate))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ago_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->runs.runs_val, (u_int *) &objp->runs.runs_len, LVP_LOST_MAX,
+		sizeof (lvp_lost_run), (xdrproc_t) xdr_lvp_lost_run))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_lvp_join (XDR *xdrs, lvp_join *objp)
 {
@@ -614,6 +673,10 @@
 	 if (!xdr_array (xdrs, (char **)&objp->runs.runs_val, (u_int *) &objp->runs.runs_len, LVP_TASKS_MAX,
 		sizeof (lvp_run), (xdrproc_t) xdr_lvp_run))
 		 return FALSE;
+	 if (!xdr_lvp_text (xdrs, &objp->queue))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->failure_permille))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/runner.c
+++ b/src/runner.c
@@ -28,6 +28,12 @@
     false },
   { "lagoonvale_sessions_lost_total", "connections to entries that ended",
     false },
+  { "lagoonvale_minion_silences_total",
+    "times that the minion stopped answering polls", false },
+  { "lagoonvale_minion_crashes_total",
+    "times that the minion was found restarted, or its port closed", false },
+  { "lagoonvale_runs_lost_total",
+    "runs that ended because the minion was gone", false },
   { "lagoonvale_runs", "runs in the book", true },
   { "lagoonvale_free_mcores", "room for further runs", true },
 };
@@ -49,7 +55,39 @@
 static void
 on_minion_polled (struct rnr_runner *r)
 {
-  rnr_notify_entries (r, false);
+  rnr_notify_entries (r, r->minion.health_changed);
+  r->minion.health_changed = false;
+}
+
+/* Log when the minion's report becomes too old to go by, and when a new one
+   has arrived.  */
+static void
+note_report_age (struct rnr_runner *r)
+{
+  struct rnr_minion *m = &r->minion;
+  bool outdated = m->report_incarnation != 0 && rnr_report_outdated (r);
+
+  if (outdated == m->report_outdated)
+    return;
+  m->report_outdated = outdated;
+  log_line (
+      LOGL_WARN, outdated ? "minion-report-outdated" : "minion-report-current",
+      "age_ms=%llu mcores=%u runs=%u",
+      (unsigned long long)(clk_since (clk_now (), m->reported_ns) / CLK_MS),
+      r->tracker.total.mcores, HASH_COUNT (r->tracker.runs));
+  rnr_notify_entries (r, true);
+}
+
+static void
+on_minion_lost (struct rnr_runner *r, lvp_fate fate)
+{
+  rnr_report_loss (r, fate);
+}
+
+static void
+on_silence_ended (struct rnr_runner *r, lvp_fate fate)
+{
+  rnr_report_silence_end (r, fate);
 }
 
 static void
@@ -59,13 +97,15 @@
   struct amt_amount left = rtk_free_amount (&r->tracker);
   uint64_t now = clk_boot ();
 
-  if (now >= r->minion.lease_end_ns
-      && clk_since (now, r->minion.poll_answered_ns) > RNR_MINION_TIMEOUT_NS)
-    rnr_set_minion_gone (r, "silent");
+  if (rnw_expired (&r->minion.renewal, clk_now ()))
+    rnr_set_minion_silent (r);
   rnr_tick_sessions (r, now);
   rtk_tick (&r->tracker, now);
   rnr_poll_minion (r);
-  rnr_notify_entries (r, false);
+  note_report_age (r);
+  rnr_offer_probe (r, now);
+  rnr_notify_entries (r, r->minion.health_changed);
+  r->minion.health_changed = false;
   rnr_drop_expired_ends (r, now);
   if (r->leaving && clk_since (now, r->leaving_ns) > DRAIN_NS)
     {
@@ -92,13 +132,15 @@
   r->ops = ops;
   r->ops_priv = ops_priv;
   r->minion_polled = on_minion_polled;
+  r->minion_lost = on_minion_lost;
+  r->silence_ended = on_silence_ended;
   r->incarnation = rnd_u64 ();
   r->token = clk_wall_ms ();
   r->token_step = RNR_TOKEN_STEP;
-  /* A previous process may have requested a lease just before it ended.  */
-  r->minion.lease_end_ns
-      = lbd_lease_expiry (clk_boot (), settings->lease_max_ms * CLK_MS);
+  rnw_init (&r->minion.renewal, clk_now (), settings->lease_max_ms * CLK_MS);
+  mnh_init (&r->minion.health);
   rtk_init (&r->tracker, mem_ctx, &events);
+  orr_init (&r->order_rates, mem_ctx);
   r->started_ns = clk_boot ();
   ctr_init (&r->counters, descs, RNR_COUNTERS);
   hst_init (&r->times, mem_ctx, times, RNR_TIMES);
@@ -111,14 +153,37 @@
 rnr_finish (struct rnr_runner *r)
 {
   rtk_finish (&r->tracker);
+  orr_finish (&r->order_rates);
   hst_finish (&r->times);
 }
 
+/* Whether REPORT was delayed and says less than is known: an older one of the
+   same process, or one of a former process.  The process that answers polls is
+   never a former one, though its clock may have gone back.  */
+static bool
+is_superseded (const struct rnr_minion *m, const struct mnn_report *report)
+{
+  if (report->incarnation == m->report_incarnation)
+    return report->sequence < m->report_sequence;
+  return report->incarnation < m->report_incarnation
+         && report->incarnation != m->incarnation;
+}
+
+/* Whether REPORT says something else than the one before.  */
+static bool
+is_news (const struct rnr_runner *r, const struct mnn_report *report)
+{
+  return report->incarnation != r->minion.report_incarnation
+         || report->leaving != r->minion.leaving
+         || !amt_equal (&report->total, &r->tracker.total);
+}
+
 bool
 rnr_handle_minion_report (struct rnr_runner *r,
                           const struct mnn_report *report)
 {
   struct rnr_minion *m = &r->minion;
+  bool news;
 
   if (!lv_slice_eq (report->service, lv_slice_of (r->settings.service)))
     {
@@ -127,21 +192,25 @@
                 r->settings.service);
       return false;
     }
-  if (report->incarnation < m->report_incarnation
-      || (report->incarnation == m->report_incarnation
-          && report->sequence < m->report_sequence))
+  if (is_superseded (m, report))
     return true;
-  if (report->incarnation != m->report_incarnation
-      || report->leaving != m->leaving)
+  news = is_news (r, report);
+  if (news)
     log_line (LOGL_INFO, "minion-report",
-              "incarnation=%llu mcores=%u memory_mb=%u leaving=%d",
+              "incarnation=%llu mcores=%u memory_mb=%u leaving=%d "
+              "mcores_before=%u mcores_used=%u",
               (unsigned long long)report->incarnation, report->total.mcores,
-              report->total.memory_mb, report->leaving);
+              report->total.memory_mb, report->leaving,
+              r->tracker.total.mcores, r->tracker.used.mcores);
   m->report_incarnation = report->incarnation;
   m->report_sequence = report->sequence;
+  m->reported_ns = clk_now ();
   m->leaving = report->leaving;
   r->tracker.total = report->total;
-  rnr_notify_entries (r, true);
+  m->absent = false;
+  rnr_poll_minion (r);
+  if (news)
+    rnr_notify_entries (r, true);
   return true;
 }
 
--- a/src/runner.h
+++ b/src/runner.h
@@ -16,6 +16,9 @@
 #include "lagoonvale/counter.h"
 #include "lagoonvale/histogram.h"
 #include "lagoonvale/minion.h"
+#include "lagoonvale/minionhealth.h"
+#include "lagoonvale/orderrate.h"
+#include "lagoonvale/renewal.h"
 #include "lagoonvale/runtracker.h"
 #include "lvproto.h"
 #include "settings.h"
@@ -25,6 +28,8 @@
  * @seeds: addresses of entries, "IP:PORT"
  * @entries_max: most entries to serve at a time
  * @lease_max_ms: longest lease that the minion grants
+ * @report_max_age_ms: age of the minion's last report from which on its
+ * capacity is unknown, and it gets no starts
  */
 struct rnr_settings
 {
@@ -34,6 +39,7 @@
   struct set_strings seeds;
   uint64_t entries_max;
   uint64_t lease_max_ms;
+  uint64_t report_max_age_ms;
 };
 
 /** enum rnr_counter - the runner's metrics, described in runner.c */
@@ -51,6 +57,9 @@
   RNR_UNANSWERED,
   RNR_FENCED,
   RNR_SESSIONS_LOST,
+  RNR_SILENCES,
+  RNR_CRASHES,
+  RNR_LOST,
   RNR_RUNNING,
   RNR_FREE_MCORES,
   RNR_COUNTERS
@@ -69,21 +78,34 @@
 
 struct rnr_session;
 struct rnr_end;
+struct rnr_loss;
+
+/** Losses of the minion that entries are told of when they join. */
+#define RNR_LOSSES_KEPT 4
 
 /** struct rnr_minion - last known state of the minion */
 struct rnr_minion
 {
   uint64_t incarnation;        /* from the last poll, 0: not running */
+  uint64_t silent_incarnation; /* that fell silent until its lease had expired,
+                                  0: none, or it is known what became of it */
   uint64_t report_incarnation; /* that sent the last report, 0: none */
   uint64_t report_sequence;    /* of the last report */
+  uint64_t reported_ns;        /* clk_now() at the last report */
+  bool report_outdated;        /* as logged last */
   bool leaving;
-  uint64_t clock_ms;     /* its clock in the last answer */
-  uint64_t clock_ns;     /* clk_boot() at that answer */
-  uint64_t lease_end_ns; /* when every requested lease has lapsed */
-  uint64_t ends_through; /* highest number of the ends received */
+  uint64_t alive_ns; /* clk_boot() at its last answer to any call */
+  uint64_t clock_ms; /* its clock in the last answer */
+  uint64_t clock_ns; /* clk_now() at that answer */
+  struct rnw_renewal renewal;
+  struct mnh_health health; /* times by clk_boot() */
+  bool health_changed;      /* since entries were told */
+  uint64_t ends_through;    /* highest number of the ends received */
   uint64_t poll_sent_ns;
   uint64_t poll_answered_ns;
   bool poll_pending;
+  bool silent;     /* the last poll was not answered */
+  bool absent;     /* the last poll was refused: nothing listens there */
   bool runs_known; /* every run at the minion is in @tracker */
 };
 
@@ -97,13 +119,20 @@
   const struct mnn_ops *ops;
   void *ops_priv;
   void (*minion_polled) (struct rnr_runner *r); /* after each poll */
+  /* Its runs are about to be ended as lost.  */
+  void (*minion_lost) (struct rnr_runner *r, lvp_fate fate);
+  /* It is known what became of the minion that had fallen silent.  */
+  void (*silence_ended) (struct rnr_runner *r, lvp_fate fate);
   struct rtk_tracker tracker;
+  struct orr_rates order_rates; /* times by clk_now() */
   struct rnr_minion minion;
   uint64_t token;      /* fencing token */
   uint64_t token_step; /* added when the token is refused */
   struct rnr_session *sessions;
   uint64_t entries_chosen_ns;
   struct rnr_end *ends;
+  struct rnr_loss *losses[RNR_LOSSES_KEPT]; /* ring, by number */
+  uint64_t loss_count;
   bool leaving;
   uint64_t leaving_ns;
   uint64_t started_ns; /* 0 after the first join */
@@ -133,8 +162,9 @@
 /**
  * rnr_handle_minion_report() - take over capacity and state of the minion
  *
- * Return: whether the report may be acknowledged.  After a report that the
- * minion is leaving, no start is sent to it.
+ * Return: whether the report is valid.  After a report that the minion is
+ * leaving no start is sent to it; that report may be acknowledged once
+ * rtk_any_start_open() is false of @tracker.
  */
 bool rnr_handle_minion_report (struct rnr_runner *r,
                                const struct mnn_report *report);
--- a/src/runner_discovery.c
+++ b/src/runner_discovery.c
@@ -21,6 +21,20 @@
   return NULL;
 }
 
+static unsigned
+count_chosen (const struct rnr_runner *r)
+{
+  const struct rnr_session *s;
+  unsigned n = 0;
+
+  DL_FOREACH (r->sessions, s)
+  n += s->chosen;
+  return n;
+}
+
+/* An agent that serves as many entries as it may takes its time to choose
+   among more of them: they become known in a few lists, and each choice may
+   replace some that have just been joined.  */
 static struct rnr_session *
 find_or_add_session (struct rnr_runner *r, const lvp_endpoint *at)
 {
@@ -32,7 +46,8 @@
   s = talloc_zero (r->mem_ctx, struct rnr_session);
   s->runner = r;
   s->endpoint = *at;
-  s->chosen = true;
+  if (count_chosen (r) < r->settings.entries_max)
+    r->entries_chosen_ns = 0;
   net_format (at->addr, at->port, s->address);
   DL_APPEND (r->sessions, s);
   log_line (LOGL_INFO, "entry-known", "entry=%s", s->address);
@@ -71,10 +86,19 @@
   return false;
 }
 
+void
+rnr_note_failure (struct rnr_session *s)
+{
+  s->failed = true;
+  s->runner->entries_chosen_ns = 0;
+}
+
+/* An entry counts as reachable until it was tried, or an agent that learns of
+   many would dial them all.  */
 void
 rnr_choose_entries (struct rnr_runner *r, uint64_t now_ns)
 {
-  struct sst_entry *members;
+  struct sst_member *members;
   struct rnr_session *s;
   unsigned count = 0;
   unsigned i;
@@ -83,13 +107,13 @@
     return;
   r->entries_chosen_ns = now_ns;
   DL_COUNT (r->sessions, s, count);
-  members = talloc_zero_array (NULL, struct sst_entry, count);
+  members = talloc_zero_array (NULL, struct sst_member, count);
   i = 0;
   DL_FOREACH (r->sessions, s)
   {
     members[i].rank
         = sst_rank (lv_slice_of (r->settings.name), lv_slice_of (s->address));
-    members[i].reachable = s->joined;
+    members[i].reachable = s->joined || !s->failed;
     members[i++].priv = s;
   }
   sst_select (members, count, (unsigned)r->settings.entries_max);
--- a/src/runner_entries.c
+++ b/src/runner_entries.c
@@ -35,6 +35,7 @@
   u_int i;
 
   s->orders++;
+  orr_record (&r->order_rates, lv_slice_of (order->queue), clk_now ());
   ctr_add (&r->counters, RNR_ORDERED, order->runs.runs_len);
   if (!fresh || !open)
     log_line (LOGL_INFO, "order-refused",
@@ -122,6 +123,7 @@
     }
   s->conn = NULL;
   s->joined = false;
+  rnr_note_failure (s);
   rnr_requeue_ends (s);
 }
 
@@ -162,11 +164,13 @@
   observe_recovery (s);
   s->incarnation = out.incarnation;
   s->joined = true;
+  s->failed = false;
   s->confirmed_ns = sent_ns;
   log_line (LOGL_INFO, "entry-joined", "entry=%s incarnation=%llx", s->address,
             (unsigned long long)s->incarnation);
   rnr_apply_answer (s, &out.report);
   WIR_FREE (lvp_join_res, &out);
+  rnr_send_losses (s);
   rnr_send_ends (s);
 }
 
@@ -222,6 +226,7 @@
   if (fd < 0)
     {
       log_line (LOGL_WARN, "entry-dial", "entry=%s code=%d", s->address, fd);
+      rnr_note_failure (s);
       return;
     }
   s->orders = 0;
@@ -275,7 +280,8 @@
     }
   else if (is_dead (s, now_ns))
     onc_close (s->conn, -ETIMEDOUT, "no answer to reports");
-  else if (clk_since (now_ns, s->reported_ns) >= LBD_REPORT_INTERVAL_NS)
+  else if (lbd_report_due (s->reported_ns,
+                           s->has_backlog || rnr_session_busy (s), now_ns))
     rnr_send_report (s);
   /* The entry has not confirmed its runs in time: they must have stopped
      before it assumes that they have ended.  */
--- a/src/runner_reports.c
+++ b/src/runner_reports.c
@@ -12,11 +12,24 @@
 /* Ends older than this are dropped unless their entry is joined, ns.  */
 #define END_RETENTION_NS (3 * CLK_S)
 
+/* What the entry of S may order, as far as the minion's health goes.  */
+static lvp_use
+use_of (const struct rnr_runner *r, const struct rnr_session *s,
+        uint64_t now_ns)
+{
+  static const lvp_use uses[] = { [MNH_ANY] = LVP_USE_ANY,
+                                  [MNH_NOTHING] = LVP_USE_NOTHING,
+                                  [MNH_PROBE] = LVP_USE_PROBE };
+
+  return uses[mnh_use (&r->minion.health, s->incarnation, now_ns)];
+}
+
 lvp_report
 rnr_make_report (const struct rnr_runner *r, const struct rnr_session *s,
                  uint64_t now_ns)
 {
   struct amt_amount left = rtk_free_amount (&r->tracker);
+  const struct mnh_health *health = &r->minion.health;
   lvp_report report
       = { .stamp_ms = now_ns / CLK_MS,
           .synced = r->minion.runs_known && r->tracker.unknown_runs == 0,
@@ -29,7 +42,10 @@
                        ? s->list_digest
                        : 0,
           .total = wir_amount (&r->tracker.total),
-          .free = wir_amount (&left) };
+          .free = wir_amount (&left),
+          .use = use_of (r, s, now_ns),
+          .ratio_permille = (u_int)(1000 * health->ratio),
+          .ratio_runs = (u_int)health->ratio_runs };
 
   return report;
 }
@@ -40,6 +56,7 @@
   struct rnr_end *end;
 
   s->ends_in_flight = 0;
+  s->ends_series++;
   DL_FOREACH (s->runner->ends, end)
   if (end->owner == s->incarnation)
     end->sent = false;
@@ -59,6 +76,16 @@
     }
 }
 
+/* The ends of a message that were sent again since are confirmed by the later
+   one only.  */
+static void
+confirm_ends (struct rnr_session *s, const struct rnr_pending_report *pending)
+{
+  if (pending->with_ends && pending->ends_series == s->ends_series
+      && --s->ends_in_flight == 0)
+    drop_sent_ends (s);
+}
+
 static void
 report_answered (struct onc_conn *conn, int err, XDR *res, void *priv)
 {
@@ -76,8 +103,7 @@
         s->confirmed_ns = pending->sent_ns;
       rnr_apply_answer (s, &out);
       WIR_FREE (lvp_report_res, &out);
-      if (pending->with_ends && --s->ends_in_flight == 0)
-        drop_sent_ends (s);
+      confirm_ends (s, pending);
     }
   talloc_free (pending);
 }
@@ -91,6 +117,7 @@
   pending->session = s;
   pending->sent_ns = now_ns;
   pending->with_ends = with_ends;
+  pending->ends_series = s->ends_series;
   s->reported_ns = now_ns;
   s->reported = true;
   return pending;
@@ -146,6 +173,40 @@
   talloc_free (ends.ends.lvp_end_list_val);
 }
 
+static struct rnr_session *
+next_prober (struct rnr_runner *r)
+{
+  struct rnr_session *fallback = NULL;
+  struct rnr_session *s;
+
+  DL_FOREACH (r->sessions, s)
+  {
+    if (!s->joined || s->incarnation == 0)
+      continue;
+    if (s->has_backlog)
+      return s;
+    if (fallback == NULL)
+      fallback = s;
+  }
+  return fallback;
+}
+
+void
+rnr_offer_probe (struct rnr_runner *r, uint64_t now_ns)
+{
+  struct rnr_session *s;
+
+  if (!mnh_needs_prober (&r->minion.health, now_ns))
+    return;
+  s = next_prober (r);
+  if (s == NULL)
+    return;
+  mnh_set_prober (&r->minion.health, s->incarnation, now_ns);
+  rnr_send_report (s);
+  DL_DELETE (r->sessions, s);
+  DL_APPEND (r->sessions, s);
+}
+
 /* Reports free capacity to one of the entries with a backlog, in round-robin
    order: reported to all at once, all would order for the same capacity.  */
 static void
--- a/src/runtracker.c
+++ b/src/runtracker.c
@@ -225,11 +225,23 @@
   }
 }
 
+bool
+rtk_any_start_open (const struct rtk_tracker *t)
+{
+  const struct rtk_run *run;
+
+  for (run = t->runs; run != NULL; run = run->hh.next)
+    if (run->started_ns == 0
+        && (run->state == RTK_STARTING || run->state == RTK_STOPPING))
+      return true;
+  return false;
+}
+
 void
-rtk_end_all (struct rtk_tracker *t)
+rtk_end_all (struct rtk_tracker *t, enum rtk_outcome outcome)
 {
   while (t->runs != NULL)
-    end_run (t, t->runs, RTK_LAPSED);
+    end_run (t, t->runs, outcome);
 }
 
 static bool
--- a/src/subset.c
+++ b/src/subset.c
@@ -4,33 +4,33 @@
 #include <xxhash.h>
 
 uint64_t
-sst_rank (struct lv_slice agent, struct lv_slice entry)
+sst_rank (struct lv_slice chooser, struct lv_slice member)
 {
-  return XXH3_64bits_withSeed (entry.data, entry.len,
-                               XXH3_64bits (agent.data, agent.len));
+  return XXH3_64bits_withSeed (member.data, member.len,
+                               XXH3_64bits (chooser.data, chooser.len));
 }
 
 static int
 compare_ranks (const void *a, const void *b)
 {
-  const struct sst_entry *x = a;
-  const struct sst_entry *y = b;
+  const struct sst_member *x = a;
+  const struct sst_member *y = b;
 
   return x->rank > y->rank ? -1 : x->rank < y->rank;
 }
 
 void
-sst_select (struct sst_entry *entries, unsigned count, unsigned max)
+sst_select (struct sst_member *members, unsigned count, unsigned max)
 {
   unsigned reachable = 0;
   unsigned i;
 
   if (count == 0)
     return;
-  qsort (entries, count, sizeof entries[0], compare_ranks);
+  qsort (members, count, sizeof members[0], compare_ranks);
   for (i = 0; i < count; i++)
     {
-      entries[i].selected = reachable < max;
-      reachable += entries[i].reachable;
+      members[i].selected = reachable < max;
+      reachable += members[i].reachable;
     }
 }
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -1,11 +1,16 @@
 """Process tests of the platform's interfaces with stand-ins: jobs are
 answered, and the minions' records show that no failure breaks the rules on
 runs."""
+import http.client as http_client
+import http.server as http_server
 import json
+import os
+import subprocess
+import threading
 import time
 import unittest
 
-from cluster import http, wait_until
+from cluster import BUILD, http, wait_until
 from platform_cluster import (HOST, RESEND_S, Callers, PlatformCluster, job,
                               queue)
 
@@ -13,6 +18,42 @@
 CONFIG_APPLY_S = 2.0
 RECOVERY_S = 12.0
 LEASE_S = 1.0
+# A link of 2 Mbit/s, in bytes/s, and the time limit for configurations at the
+# site that has the narrowest links.
+NARROW_LINK = 250000
+NARROW_APPLY_S = 4.0
+# Variants that standins/platform_minion.py knows.
+MALFORMED_LISTS = 9
+# Memory for an entry with 10,000 queues (issue 19), without shared libraries.
+ENTRY_MEMORY_MB = 12
+
+
+def memory_mb(process):
+    """The sizes that /proc gives of a process, by their names there."""
+    with open("/proc/%d/status" % process.popen.pid) as f:
+        sizes = [line.split() for line in f if line.startswith(("Vm", "Rss"))]
+    return {name.rstrip(":"): int(kb) / 1024 for name, kb, _ in sizes}
+
+
+class Page:
+    """Serves one text to every GET."""
+
+    def __init__(self, text):
+        class Handler(http_server.BaseHTTPRequestHandler):
+            def do_GET(self):
+                self.send_response(200)
+                self.end_headers()
+                self.wfile.write(text.encode())
+
+            def log_message(self, *args):
+                pass
+        self.server = http_server.HTTPServer(("127.0.0.1", 0), Handler)
+        self.url = "http://127.0.0.1:%d" % self.server.server_port
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
 
 
 class PlatformTest(unittest.TestCase):
@@ -111,6 +152,23 @@
                 self.assertEqual(len(found), 1)
                 self.assertGreaterEqual(float(found[0].split()[-1]), 1)
 
+    # Guards against control that costs as much while nothing runs: polls of an
+    # idle minion, and reports to entries that have nothing there.
+    def test_an_idle_agent_polls_and_reports_seldom(self):
+        c = self.ready(entries=2, agents=1)
+        time.sleep(1)
+
+        def counts():
+            return [c.metric(c.agents[0], "lagoonvale_" + series) for series in (
+                'minion_call_seconds_count{call="look",outcome="ok"}',
+                'report_seconds_count{kind="report"}')]
+        before, began = counts(), time.monotonic()
+        time.sleep(3)
+        after, seconds = counts(), time.monotonic() - began
+        polls, reports = (b - a for a, b in zip(before, after))
+        self.assertLessEqual(polls, seconds * 10 + 2)
+        self.assertLessEqual(reports, len(c.entries) * (seconds * 5 + 1))
+
     def test_a_task_too_large_for_all_agents_is_refused_at_once(self):
         c = self.ready()
         time.sleep(1.5)
@@ -118,6 +176,23 @@
         self.assertEqual(c.submit(0, job(mcores=9000000))[0], 503)
         self.assertLess(time.monotonic() - began, 0.5)
 
+    # Guards against callers that are told to come back with what is never
+    # accepted.
+    def test_a_refusal_tells_when_to_come_back_if_that_helps(self):
+        c = self.ready(agents=1, mcores=2000)
+        time.sleep(1.6)
+        for mcores, delay in ((9000, None), (2000, "1")):
+            if delay:
+                c.entries[0].send(15)
+                time.sleep(0.1)
+            headers = {"Host": HOST, "X-Deadline-Ms": "3000"}
+            call = http_client.HTTPConnection(c.addresses[0]["jobs"], timeout=5)
+            call.request("POST", "/rush/" + os.urandom(8).hex(),
+                         json.dumps(job(mcores=mcores, run_ms=3000)), headers)
+            answer = call.getresponse()
+            self.assertEqual(answer.status, 503)
+            self.assertEqual(answer.getheader("Retry-After"), delay)
+
     def test_what_cannot_begin_in_time_is_refused_not_held(self):
         c = self.ready(entries=1, agents=1)
         filler = Callers(c, workers=3, count=8, run_ms=900)
@@ -207,13 +282,87 @@
             self.assertTrue(wait_until(lambda: all(
                 c.submit(i, job(run_ms=5), prefix="/new%d/" % n)[0] == 200
                 for i in range(5)), CONFIG_APPLY_S))
-        sources = [line.split("from=")[1].split()[0]
-                   for entry in c.entries
-                   for line in c.log_of(entry).splitlines()
-                   if "event=config " in line and "queues=1702" in line]
-        self.assertEqual(len(sources), 25)
+
+        def sources():
+            return [line.split("from=")[1].split()[0]
+                    for entry in c.entries
+                    for line in c.log_of(entry).splitlines()
+                    if "event=config " in line and "queues=1702" in line]
+        # A process writes its log lines at its next tick.
+        wait_until(lambda: len(sources()) >= 25, 2)
+        self.assertEqual(len(sources()), 25)
         # Two readers; a follower may ask the store before a peer has told it.
-        self.assertGreaterEqual(sum(s != "store" for s in sources), 5)
+        self.assertGreaterEqual(sum(s != "store" for s in sources()), 5)
+
+    # Guards against a collapse that outlasts its cause: entries that never end
+    # reading a large configuration over narrow links, which fill up with it,
+    # while agents that get no answer in time join again and again.
+    def test_a_large_configuration_on_narrow_links_costs_no_service(self):
+        c = self.ready(entries=3, agents=4, proxy=True)
+        callers = Callers(c, workers=6, run_ms=30)
+        c.limit_links(NARROW_LINK)
+        time.sleep(1.5)
+        usual = callers.served_since(time.monotonic() - 1)
+        many = [queue("q%d" % i, "/q%d/" % i) for i in range(1650)]
+        c.publish(queue("rush", "/rush/"), queue("new", "/new/"), *many)
+        changed = time.monotonic()
+        self.assertTrue(wait_until(lambda: all(
+            c.submit(i, job(run_ms=5), prefix="/new/")[0] == 200
+            for i in range(3)), NARROW_APPLY_S))
+        time.sleep(max(0, changed + NARROW_APPLY_S + 1 - time.monotonic()))
+        served = callers.served_since(changed + NARROW_APPLY_S)
+        callers.stop()
+        self.assertGreaterEqual(served, 0.8 * usual)
+        lost = sum(c.metric(a, "lagoonvale_sessions_lost_total")
+                   for a in c.agents)
+        self.assertEqual(lost, 0)
+        self.check_rules(c)
+
+    # Guards against a configuration whose decoding takes more memory than an
+    # entry has for all of its control.
+    def test_ten_thousand_queues_fit_into_an_entry(self):
+        c = self.ready(entries=2, agents=1)
+        many = [queue("q%d" % i, "/q%d/" % i) for i in range(10000)]
+        before = [memory_mb(e) for e in c.entries]
+        for n in range(3):
+            c.publish(queue("rush", "/rush/"), queue("new%d" % n, "/new%d/" % n),
+                      *many)
+            self.assertTrue(wait_until(lambda n=n: all(
+                c.submit(i, job(run_ms=5), prefix="/new%d/" % n)[0] == 200
+                for i in range(2))))
+        for entry, was in zip(c.entries, before):
+            grown = memory_mb(entry)["VmHWM"] - was["VmRSS"]
+            self.assertLess(was["RssAnon"] + grown, ENTRY_MEMORY_MB)
+
+    # Guards against an operator who cannot see that an entry has not followed a
+    # change of the configuration.
+    def test_the_status_names_entries_that_are_behind(self):
+        c = self.ready(entries=2, agents=1)
+        pages = ["http://" + a["metrics"] for a in c.addresses]
+
+        def status(*urls):
+            argv = [os.path.join(BUILD, "lagoonvale"), "status"]
+            done = subprocess.run(argv + ["--metrics=" + u for u in urls],
+                                  capture_output=True, text=True, timeout=20)
+            return done.returncode, done.stdout
+        version = str(c.version)
+        code, text = status(*pages)
+        self.assertEqual(code, 0, text)
+        self.assertEqual([line.split()[1] for line in text.splitlines()],
+                         ["config", version, version])
+        # The newer version arrives at one entry only, and nobody passes it on.
+        c.entries[1].pause()
+        c.publish(queue("rush", "/rush/"))
+        self.assertTrue(wait_until(lambda: c.metric(
+            c.entries[0], "lagoonvale_config_version") == c.version))
+        stale = Page("lagoonvale_config_version %s\n"
+                     "lagoonvale_agents_joined 1\nlagoonvale_open_jobs 0\n"
+                     "lagoonvale_waiting_mcore_ms 0\n" % version)
+        self.addCleanup(stale.close)
+        code, text = status(pages[0], stale.url)
+        self.assertEqual(code, 1)
+        behind = [line for line in text.splitlines() if "behind" in line]
+        self.assertEqual([line.split()[0] for line in behind], [stale.url])
 
     def test_an_older_version_never_takes_effect(self):
         c = self.ready(entries=1)
@@ -273,21 +422,48 @@
 
     def test_an_agent_serves_a_few_of_many_entries_and_replaces_lost_ones(self):
         c = self.cluster(entries=4, agents=4, agent={"entries_max": 2})
-        c.await_ready()
 
         def served():
             return [c.metric(e, "lagoonvale_agents_joined")
                     for e in c.entries if e.alive()]
 
+        self.assertTrue(wait_until(lambda: all(
+            http("GET", c.metrics_url(e))[0] == 200 for e in c.entries)))
         self.assertTrue(wait_until(lambda: sum(served()) == 8, 8))
+        self.check_readiness(c, served)
         callers = Callers(c, workers=4, run_ms=40)
-        self.assertTrue(wait_until(lambda: len(callers.answers) > 40))
+        self.assertTrue(wait_until(lambda: callers.served_since(0) > 40))
         lost = served().index(max(served()))
         c.entries[lost].kill()
         self.assertTrue(wait_until(lambda: sum(served()) == 8, 8))
         callers.stop()
         self.check_rules(c)
 
+    def check_readiness(self, c, served):
+        """An entry that no agent has chosen to serve tells that it is not
+        ready; each of the others serves."""
+        # An entry that agents learn of last may take the place of others.
+        time.sleep(2)
+        agents = served()
+        self.assertEqual(sum(agents), 8)
+        for i, entry in enumerate(c.entries):
+            self.assertEqual(entry.ready(), agents[i] > 0)
+            if agents[i] > 0:
+                self.assertTrue(wait_until(
+                    lambda i=i: c.submit(i, job(run_ms=5))[0] == 200, 3))
+
+    # Guards against agents that connect to every entry they learn of, all at
+    # the same time after a start, to keep a few.
+    def test_agents_connect_only_to_the_entries_that_they_serve(self):
+        c = self.cluster(entries=10, agents=2, agent={"entries_max": 2})
+        time.sleep(4)
+        for agent in c.agents:
+            joined = c.log_of(agent).count("event=entry-joined")
+            # Seeds may be left for entries that rank higher.
+            self.assertLessEqual(joined, 2 + len(c.seeds))
+        self.assertEqual(sum(c.metric(e, "lagoonvale_agents_joined")
+                             for e in c.entries), 4)
+
     def test_the_store_lists_each_entry_once(self):
         c = self.ready(entries=2, agents=1)
         c.entries[1].kill()
@@ -364,6 +540,17 @@
     def test_minion_killed(self):
         self.under_load(lambda c: c.kill_minion(0))
 
+    # Guards against a run that outlives the lease under which it was counted as
+    # ended, at a minion that stalls for about as long as a lease.
+    def test_minion_stalls_around_the_end_of_its_lease(self):
+        def fault(c):
+            for stall_s in (0.3, 0.45, 0.55, 0.65, 0.75, 0.9):
+                c.minions[0].pause()
+                time.sleep(stall_s)
+                c.minions[0].resume()
+                time.sleep(0.4)
+        self.under_load(fault, seconds=2)
+
     def test_minion_restarted_at_its_address(self):
         def fault(c):
             c.kill_minion(0)
@@ -383,14 +570,62 @@
     def test_minion_runs_make_no_progress(self):
         self.under_load(lambda c: c.set_mode(c.minions[0], hang=1))
 
+    # Guards against an answer of a minion that ends the agent, and all runs
+    # with it, or that passes for one that lists no runs: these would be
+    # started elsewhere while they go on.
+    def test_minion_answers_with_malformed_lists(self):
+        def fault(c):
+            for variant in range(1, MALFORMED_LISTS + 1):
+                c.set_mode(c.minions[0], malformed=variant)
+                time.sleep(0.15)
+                c.set_mode(c.minions[0], malformed=0)
+                time.sleep(0.15)
+        c, _ = self.under_load(fault)
+        self.assertNotIn("event=stopped", c.log_of(c.agents[0]))
+        self.assertEqual(c.log_of(c.agents[0]).count("event=started"), 1)
+        self.assertTrue(c.agents[0].alive())
+
     def test_minion_refuses_starts(self):
         self.under_load(lambda c: c.set_mode(c.minions[0], busy=1))
 
+    # Guards against each entry finding out for itself, at the cost of a few
+    # requests and of its own probes, that a minion fails what it runs.
+    def test_a_failing_minion_is_out_of_use_at_all_entries_at_once(self):
+        c = self.ready(entries=6, agents=4)
+        callers = Callers(c, workers=12, count=1, run_ms=60)
+        time.sleep(1)
+        refused = "lagoonvale_runs_refused_total"
+        c.set_mode(c.minions[0], busy=1)
+        self.assertTrue(wait_until(
+            lambda: c.metric(c.agents[0], refused) >= 3, every=0.005))
+        time.sleep(0.3)
+        before = c.metric(c.agents[0], refused)
+        time.sleep(5)
+        # Probes of the whole fleet: after one second, and each two more.
+        self.assertLessEqual(c.metric(c.agents[0], refused) - before, 3)
+        c.set_mode(c.minions[0], busy=0)
+        done = c.metric(c.agents[0], "lagoonvale_runs_done_total")
+        self.assertTrue(wait_until(lambda: c.metric(
+            c.agents[0], "lagoonvale_runs_done_total") > done + 10, 8))
+        callers.stop()
+        self.check_rules(c)
+
     def test_minion_leaves(self):
         c, _ = self.under_load(
             lambda c: c.set_mode(c.minions[0], state="draining"))
         self.assertIn("leaving=1", c.log_of(c.agents[0]))
 
+    # Guards against a report of leaving that is acknowledged while starts that
+    # were sent before it are still on their way to the minion.
+    def test_leaving_is_acknowledged_after_the_starts_on_their_way(self):
+        def fault(c):
+            c.set_fault("minion-0", delay_ms=15)
+            time.sleep(0.5)
+            c.set_mode(c.minions[0], state="draining")
+        c, _ = self.under_load(fault, proxy=True)
+        # Any start after this is a violation that check_rules() has found.
+        self.assertIn("acknowledged", [e["what"] for e in c.events()])
+
     def test_everything_killed_and_started(self):
         def fault(c):
             for p in c.entries + c.agents:
--- a/tests/process/test_runner.py
+++ b/tests/process/test_runner.py
@@ -1,12 +1,16 @@
 """Reports of the runner to an entry, received by a stand-in for the entry."""
+import json
+import os
 import socket
 import struct
+import subprocess
+import tempfile
 import threading
 import time
 import unittest
 
-from cluster import free_ports, wait_until
-from platform_cluster import PlatformCluster
+from cluster import BUILD, free_ports, http, wait_until
+from platform_cluster import SERVICE, PlatformCluster
 
 JOIN, REPORT = 12, 13
 DIGEST = 7
@@ -16,6 +20,37 @@
 REPLY = struct.pack(">IIIII", 1, 0, 0, 0, 0)
 
 
+class Startup(unittest.TestCase):
+    # Guards against a start that fails without saying which address is taken.
+    def test_an_address_in_use_is_named(self):
+        taken = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(taken.close)
+        address = "127.0.0.1:%d" % taken.getsockname()[1]
+        programs = {"dispatcher": ("rpc", "jobs", "ready", "metrics"),
+                    "runner": ("reports", "metrics")}
+        for program, keys in programs.items():
+            for key in keys:
+                with self.subTest(program=program, key=key):
+                    text = self.start(program, keys, {key: address})
+                    self.assertIn("step=%s peer=%s" % (key, address), text)
+                    self.assertIn("in use", text)
+
+    def start(self, program, keys, values):
+        settings = {"name": "x", "domain": "d", "store": "127.0.0.1:1"}
+        for key, port in zip(keys, free_ports(len(keys))):
+            settings[key] = "127.0.0.1:%d" % port
+        if program == "runner":
+            settings.update(service="s", minion="127.0.0.1:1")
+        path = os.path.join(tempfile.mkdtemp(prefix="lagoonvale-"), "s.json")
+        with open(path, "w") as f:
+            json.dump(dict(settings, **values), f)
+        done = subprocess.run(
+            [os.path.join(BUILD, "lagoonvale-" + program), path],
+            capture_output=True, text=True, timeout=10)
+        self.assertNotEqual(done.returncode, 0)
+        return done.stderr
+
+
 class EntryStandin(threading.Thread):
     """Answers joins and reports; lists only itself.  Records the time and the
     known list digest of each report."""
@@ -83,5 +118,38 @@
         self.assertGreater(len(entry.reports), 8 * len(requested))
 
 
+class MinionReports(unittest.TestCase):
+    # Guards against a report that cannot be read changing what is known of the
+    # minion, above all its capacity, and against one that ends the agent.
+    def test_reports_that_cannot_be_read_change_nothing(self):
+        c = PlatformCluster(entries=0, agents=1, mcores=8000,
+                            seeds=["127.0.0.1:1"])
+        self.addCleanup(c.close)
+        free = "lagoonvale_free_mcores"
+        self.assertTrue(wait_until(c.agents[0].ready))
+        self.assertTrue(wait_until(lambda: c.metric(c.agents[0], free) == 8000))
+        c.set_mode(c.minions[0], mute=1)
+        time.sleep(0.6)
+        good = {"service": SERVICE, "state": "ready", "seq": 1000,
+                "born": int(time.time() * 1000) + 1000,
+                "room": {"cpu": 4000, "mem_mb": 100, "gpu": 0}}
+        room = good["room"]
+        bad = [b"", b"{", b"\xff", b"[]", b"7"] + [dict(good, **more) for more in (
+            {"born": None}, {"born": 0}, {"born": -1}, {"born": "x"},
+            {"born": 1.5}, {"state": "gone"}, {"state": 7}, {"service": "x"},
+            {"service": None}, {"room": None}, {"room": 4000}, {"room": []},
+            {"room": {}}, {"room": dict(room, cpu="4000")},
+            {"room": dict(room, cpu=-1)}, {"room": dict(room, cpu=2 ** 32)},
+            {"room": dict(room, mem_mb=2 ** 32)}, {"room": dict(room, gpu="x")},
+            {"room": {"cpu": 4000}})]
+        url = "http://%s/instances/i-1" % c.agents[0].address
+        for body in bad:
+            with self.subTest(body=body):
+                self.assertEqual(http("PUT", url, body)[0], 400)
+                self.assertEqual(c.metric(c.agents[0], free), 8000)
+        self.assertEqual(http("PUT", url, good)[0], 200)
+        self.assertTrue(wait_until(lambda: c.metric(c.agents[0], free) == 4000))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/backlog_test.cc
+++ b/tests/unit/backlog_test.cc
@@ -2,6 +2,7 @@
 extern "C"
 {
 #include "lagoonvale/backlog.h"
+#include "lagoonvale/retryafter.h"
 }
 
 namespace
@@ -57,4 +58,24 @@
   EXPECT_EQ (bkl_expected_wait_ns (&b, 3, 3500 * kMs), 0U);
   EXPECT_EQ (bkl_expected_wait_ns (&b, 3, 4000 * kMs), kNever);
 }
-} // namespace
+
+/* Callers that are refused together and told the same delay come back together,
+   in an overload that lasts longer than that. */
+TEST (RetryAfter, DelayGrowsWithTheWaitAndIsSpread)
+{
+  const struct
+  {
+    uint64_t wait_ms;
+    double uniform;
+    unsigned delay_ms;
+  } cases[] = {
+    { 0, 0, 1000 },        { 0, 0.5, 1500 },      { 900, 0, 1000 },
+    { 2000, 0, 2000 },     { 2000, 0.25, 2500 },  { 5000, 1, 10000 },
+    { 60000, 0.1, 5500 },  { UINT64_MAX / kMs, 0, 5000 },
+  };
+
+  for (const auto &c : cases)
+    EXPECT_EQ (rta_overload_ms (c.wait_ms * kMs, c.uniform), c.delay_ms)
+        << c.wait_ms;
+}
+}
--- a/tests/unit/decisions_test.cc
+++ b/tests/unit/decisions_test.cc
@@ -144,6 +144,7 @@
     { "all agents held by a rival with a lower ballot", { ADP_HELD, ADP_HELD }, 5, ADP_YIELD },
     { "some agents held by a rival with a lower ballot", { ADP_FENCED, ADP_HELD }, 5, ADP_PREEMPT },
     { "a rival with a higher ballot", { ADP_FENCED, ADP_HELD }, 50, ADP_YIELD },
+    { "a rival with the same ballot, which no fence can preempt", { ADP_FENCED, ADP_HELD }, 10, ADP_YIELD },
   };
   for (const Case &c : cases)
     {
@@ -258,6 +259,31 @@
   talloc_free (mem);
 }
 
+// Guards against kinds beyond the bound being recorded, but never looked up.
+TEST (Estimate, KindsBeyondTheBoundShareAnEstimate)
+{
+  void *mem = talloc_new (nullptr);
+  struct est_table t;
+  const std::string name (64, 'x');
+  const struct lv_slice cases[]
+      = { lv_slice_of ("further"), { name.data (), name.size () } };
+
+  est_init (&t, mem);
+  for (int i = 0; i < EST_KINDS_MAX; i++)
+    EXPECT_FALSE (est_observe (&t, lv_slice_of (std::to_string (i).c_str ()),
+                               kMs, true));
+  for (const auto &kind : cases)
+    {
+      EXPECT_EQ (est_observe (&t, kind, 7 * kMs, true), &kind == cases)
+          << "told once";
+      EXPECT_EQ (est_mean (&t, kind), 7 * kMs);
+      est_observe (&t, kind, 0, false);
+      EXPECT_GT (est_failure_rate (&t, kind), 0);
+    }
+  est_finish (&t);
+  talloc_free (mem);
+}
+
 TEST (Health, EjectsOutliersUpToTheShare)
 {
   struct hlt_fleet f = {};
@@ -269,11 +295,11 @@
   EXPECT_EQ (f.ejected, 3u) << "at most 30 % of 11";
   EXPECT_FALSE (hlt_usable (&t[0], HLT_PROBE_NS - 1));
   ASSERT_TRUE (hlt_usable (&t[0], HLT_PROBE_NS));
-  hlt_probe (&t[0]);
+  hlt_probe (&t[0], HLT_PROBE_NS);
   EXPECT_FALSE (hlt_usable (&t[0], HLT_PROBE_NS)) << "one probe at a time";
   hlt_observe (&f, &t[0], false, 0.1, HLT_PROBE_NS);
   EXPECT_FALSE (hlt_usable (&t[0], 3 * HLT_PROBE_NS - 1)) << "the interval doubles";
-  hlt_probe (&t[0]);
+  hlt_probe (&t[0], 3 * HLT_PROBE_NS);
   hlt_observe (&f, &t[0], true, 0.1, 4 * HLT_PROBE_NS);
   EXPECT_EQ (t[0].state, HLT_FIT);
   EXPECT_EQ (f.ejected, 2u);
@@ -284,6 +310,27 @@
   EXPECT_EQ (healthy.state, HLT_FIT) << "the kind fails everywhere";
 }
 
+// Guards against a target that is out of use for good since its probe ended
+// without a result: cancelled, or refused for want of capacity.
+TEST (Health, AProbeWithoutAResultIsRepeated)
+{
+  struct hlt_fleet f = {};
+  struct hlt_target t = {};
+  const uint64_t sent = 5 * HLT_PROBE_NS;
+
+  f.targets = 11;
+  for (int k = 0; k < 4; k++)
+    hlt_observe (&f, &t, false, 0, 0);
+  hlt_probe (&t, sent);
+  EXPECT_FALSE (hlt_usable (&t, sent + HLT_PROBE_NS - 1));
+  EXPECT_TRUE (hlt_usable (&t, sent + HLT_PROBE_NS));
+  hlt_probe (&t, sent + HLT_PROBE_NS);
+  EXPECT_FALSE (hlt_usable (&t, sent + 2 * HLT_PROBE_NS - 1));
+  hlt_observe (&f, &t, true, 0, sent + 2 * HLT_PROBE_NS);
+  EXPECT_EQ (t.state, HLT_FIT);
+  EXPECT_EQ (f.ejected, 0u);
+}
+
 uint32_t
 always_zero (void *, uint32_t)
 {
@@ -318,7 +365,7 @@
   const uint64_t now = 10000000;
   a.seq = 1;
   b.seq = 2;
-  key_init (&t, mem, 20000, 10000, 400);
+  key_init (&t, mem, 20000, 10000, 500);
   EXPECT_EQ (key_bind (&t, k, &a, now - 20000, 0, now, &bound), 0);
   EXPECT_EQ (key_bind (&t, k, &b, now - 20000, 0, now, &bound), -EEXIST);
   EXPECT_TRUE (sid_equal (&bound, &a));
@@ -329,6 +376,11 @@
   EXPECT_EQ (key_bind (&t, young, &a, now - 9000, now, now, &bound), 0)
       << "the caller states that it sends the key for the first time";
   EXPECT_EQ (key_bind (&t, young, &b, 0, now, now, &bound), -EEXIST);
+
+  /* A time of less than a second since 1970 was taken as one far ahead.  */
+  struct lv_slice early = lv_slice_of ("order-3");
+  EXPECT_EQ (key_bind (&t, early, &a, now - 9000, 1, now, &bound), -EAGAIN);
+  EXPECT_EQ (key_bind (&t, early, &a, now - 9000, 999, now, &bound), -EAGAIN);
   int rc = 0;
   for (int i = 0; i < 10 && rc == 0; i++)
     rc = key_bind (&t, lv_slice_of (std::to_string (i).c_str ()), &a, 0, 0, now, &bound);
--- a/tests/unit/dispatch_test.cc
+++ b/tests/unit/dispatch_test.cc
@@ -44,6 +44,7 @@
   } cases[] = {
     { 0, true },
     { LBD_REPORT_INTERVAL_NS / kMs + 100, true },
+    { LBD_IDLE_INTERVAL_NS / kMs + 100, true },
     { LBD_LATE_MS, false },
     { LBD_CONFIRM_TIMEOUT_NS / kMs, false },
     { UINT32_MAX, false },
@@ -52,6 +53,28 @@
     EXPECT_EQ (lbd_may_order (c.confirmed_ms), c.may_order) << c.confirmed_ms;
 }
 
+// Guards against runs that are stopped since their entry was reported to as
+// seldom as an idle one, and against an idle one that may never order.
+TEST (LeaseBounds, OnlyIdleEntriesAreReportedToSeldom)
+{
+  const struct
+  {
+    uint64_t age_ns;
+    bool busy, due;
+  } cases[] = {
+    { 0, true, false },
+    { LBD_REPORT_INTERVAL_NS - 1, true, false },
+    { LBD_REPORT_INTERVAL_NS, true, true },
+    { LBD_REPORT_INTERVAL_NS, false, false },
+    { LBD_IDLE_INTERVAL_NS - 1, false, false },
+    { LBD_IDLE_INTERVAL_NS, false, true },
+    { LBD_CONFIRM_TIMEOUT_NS, true, true },
+  };
+  for (const auto &c : cases)
+    EXPECT_EQ (lbd_report_due (1000, c.busy, 1000 + c.age_ns), c.due)
+        << c.age_ns << c.busy;
+}
+
 TEST (LeaseBounds, RunsOfALostAgentEndBeforeTheCallerResends)
 {
   EXPECT_LE (lbd_runs_ended_by (0), kResendNs);
@@ -178,6 +201,36 @@
     }
 }
 
+// Guards against an acknowledgement of leaving that a start may still follow.
+TEST_F (Runtracker, AStartIsOpenUntilItOrItsStopIsAnswered)
+{
+  const struct
+  {
+    bool started;
+    bool stopped;
+    bool acked;
+    bool open;
+  } cases[] = {
+    { false, false, false, true }, { true, false, false, false },
+    { true, true, false, false },  { false, true, false, true },
+    { false, true, true, false },
+  };
+
+  EXPECT_FALSE (rtk_any_start_open (&tracker));
+  for (const auto &c : cases)
+    {
+      rtk_finish (&tracker);
+      struct rtk_run *run = order ("a");
+      if (c.started)
+        rtk_mark_started (&tracker, run, 1);
+      if (c.stopped)
+        rtk_stop (&tracker, run, 2);
+      if (c.acked)
+        rtk_mark_stop_acked (&tracker, run, 3);
+      EXPECT_EQ (rtk_any_start_open (&tracker), c.open);
+    }
+}
+
 TEST_F (Runtracker, ListingRequestedBeforeTheStartIsIgnored)
 {
   struct rtk_run *run = order ("a");
@@ -238,7 +291,7 @@
   order ("b", 1000, 6);
   rtk_stop_owner (&tracker, 5, 1);
   EXPECT_EQ (stops, std::vector<std::string> ({ "a" }));
-  rtk_end_all (&tracker);
+  rtk_end_all (&tracker, RTK_CRASHED);
   EXPECT_EQ (ends.size (), 2u);
   EXPECT_EQ (rtk_free_amount (&tracker).mcores, 8000u);
 }
@@ -588,20 +641,24 @@
     { { make_candidate (8000), make_candidate (1000, 3) }, 0, 1 },
     { { make_candidate (8000) }, 0, 0 },
   };
-  const struct amt_amount need = { 1000, 10, 0 };
   for (const auto &c : cases)
-    EXPECT_EQ (cnd_select (c.candidates.data (), c.candidates.size (), &need,
-                           c.avoid, 0),
-               c.expect);
+    {
+      const struct cnd_task task = { { 1000, 10, 0 }, c.avoid, 0 };
+      EXPECT_EQ (
+          cnd_select (c.candidates.data (), c.candidates.size (), &task),
+          c.expect);
+    }
 }
 
 TEST (Candidate, SpreadCoversEqualCandidates)
 {
   const std::vector<cnd_candidate> candidates (4, make_candidate (8000));
-  const struct amt_amount need = { 1000, 10, 0 };
   std::vector<int> seen (4);
   for (int i = 0; i < 100; i++)
-    seen[cnd_select (candidates.data (), 4, &need, -1, i / 100.0)]++;
+    {
+      const struct cnd_task task = { { 1000, 10, 0 }, -1, i / 100.0 };
+      seen[cnd_select (candidates.data (), 4, &task)]++;
+    }
   for (int n : seen)
     EXPECT_GT (n, 0);
 }
--- a/tests/unit/subset_test.cc
+++ b/tests/unit/subset_test.cc
@@ -10,7 +10,7 @@
 namespace
 {
 std::string
-select_ranks (std::vector<struct sst_entry> entries, unsigned max)
+select_ranks (std::vector<struct sst_member> entries, unsigned max)
 {
   std::string out;
   sst_select (entries.data (), (unsigned)entries.size (), max);
@@ -24,7 +24,7 @@
 {
   const struct
   {
-    std::vector<struct sst_entry> entries;
+    std::vector<struct sst_member> entries;
     unsigned max;
     const char *selected;
   } cases[] = {
@@ -49,7 +49,7 @@
   for (unsigned a = 0; a < kAgents; a++)
     {
       std::string agent = "side-" + std::to_string (a);
-      std::vector<struct sst_entry> entries;
+      std::vector<struct sst_member> entries;
       for (uintptr_t e = 0; e < kEntries; e++)
         {
           std::string entry = "10.0.0." + std::to_string (e) + ":8000";
