--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -82,6 +82,16 @@
     ("incomplete-answer-sent", "src/submission.c",
      "  if (s->done == s->count)\n", "  if (s->done + 1 >= s->count)\n",
      "AllOrNothing.test_equal_indices"),
+    ("lost-runs-end-without-their-lease", "src/leasebounds.c",
+     "  return lbd_lease_expiry (stop_ns, LBD_LEASE_NS);", "  return stop_ns;",
+     "unit"),
+    ("any-status-refuses-a-start", "platform/pfm_listing.c",
+     "    default:\n      return MNN_UNANSWERED;",
+     "    default:\n      return MNN_REFUSED;",
+     "unit"),
+    ("malformed-listing-taken", "platform/pfm_minion.c",
+     "      listing.result.answer = MNN_UNANSWERED;", "",
+     "Failures.test_minion_answers_with_malformed_lists"),
 ]
 
 
