--- a/tools/load.h
+++ b/tools/load.h
@@ -23,6 +23,8 @@
 #define LOAD_ENTRIES_MAX 16
 /** Maximum duration of a run, in seconds, and maximum arrivals in one. */
 #define LOAD_SECONDS_MAX 600
+/** Maximum slots of the reference. */
+#define LOAD_SLOTS_MAX 1000000
 #define LOAD_ARRIVALS_MAX 2000000U
 
 /**
--- a/tools/load_scenario.c
+++ b/tools/load_scenario.c
@@ -97,6 +97,7 @@
 {
   struct json_object *json = json_object_from_file (path);
   struct json_object *streams = NULL;
+  double slots;
   size_t n;
 
   memset (s, 0, sizeof *s);
@@ -107,8 +108,12 @@
   s->seconds = get_double (json, "seconds", 10);
   s->warmup_s = get_double (json, "warmup_s", 0);
   s->seed = (uint32_t)get_double (json, "seed", 1);
-  s->slots = (uint32_t)get_double (json, "slots", 88);
+  slots = get_double (json, "slots", 88);
+  s->slots = slots >= 1 && slots <= LOAD_SLOTS_MAX ? (uint32_t)slots : 0;
   s->network_ms = get_double (json, "network_ms", 0);
+  if (s->slots == 0)
+    return err_set (err, -EINVAL, "scenario", path, "slots: expected 1 to %d",
+                    LOAD_SLOTS_MAX);
   if (s->name[0] == '\0' || s->seconds <= 0 || s->seconds > LOAD_SECONDS_MAX
       || !json_object_object_get_ex (json, "streams", &streams)
       || !json_object_is_type (streams, json_type_array))
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -24,7 +24,7 @@
 import os
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from cluster import wait_until  # noqa: E402
-from platform_cluster import Callers, PlatformCluster, queue  # noqa: E402
+from platform_cluster import Callers, PlatformCluster, job, queue  # noqa: E402
 
 RECOVERY_S = 12.0
 # Within RECOVERY_S after the faults the request rate must reach this share of
@@ -36,6 +36,8 @@
 class Soak:
     def __init__(self, seed, seconds, entries, agents):
         self.rng = random.Random(seed)
+        # Draws the faults that came later: each seed keeps its earlier ones.
+        self.more = random.Random("more %d" % seed)
         self.seconds = seconds
         self.c = PlatformCluster(entries=entries, agents=agents, proxy=True)
         self.versions, self.violations, self.schedule = {}, [], []
@@ -56,11 +58,33 @@
             self.schedule.append((at, kind.__name__, kind(), self.rng.uniform(
                 0.3, 3.0)))
             at += self.rng.uniform(0.2, 2.0)
+        kinds = [self.capacity, self.deadly_task, self.narrow_link]
+        at = self.more.uniform(0.2, 2.0)
+        while at < self.seconds:
+            kind = self.more.choice(kinds)
+            self.schedule.append((at, kind.__name__, kind(),
+                                  self.more.uniform(0.3, 6.0)))
+            at += self.more.uniform(1.0, 4.0)
+        self.schedule.sort(key=lambda fault: fault[0])
+
+    def start_again(self, p):
+        """Starts P unless another fault, which overlaps, has done so: a second
+        process would take its addresses, and nobody would end the first."""
+        with self.lock:
+            if not p.alive():
+                p.start()
+
+    def set_minion(self, m, **mode):
+        """Sets modes of minion M, unless another fault has taken it down."""
+        try:
+            m.alive() and self.c.set_mode(m, **mode)
+        except AssertionError:
+            print("       %s is not up, %s left out" % (m.name, mode))
 
     # Each fault returns an action that injects it and one that ends it.
     def kill(self):
         p = self.pick_process()
-        return p.kill, lambda: p.alive() or p.start()
+        return p.kill, lambda: self.start_again(p)
 
     def pause(self):
         p = self.pick_process()
@@ -70,9 +94,11 @@
         p = self.pick_process()
 
         def restart():
-            wait_until(lambda: not p.alive(), 8)
-            p.kill() if p.alive() else None
-            p.start()
+            stopped = p.popen
+            wait_until(lambda: p.popen is not stopped or not p.alive(), 8)
+            if p.popen is stopped and p.alive():
+                p.kill()
+            self.start_again(p)
         return lambda: p.send(15), restart
 
     def reload(self):
@@ -83,7 +109,7 @@
         i = self.rng.randrange(len(self.c.minions))
         m = self.c.minions[i]
         return (lambda: self.c.kill_minion(i),
-                lambda: m.alive() or m.start())
+                lambda: self.start_again(m))
 
     def minion_mode(self):
         m = self.rng.choice(self.c.minions)
@@ -91,8 +117,8 @@
             {"share": 0.1}, {"share": 0.3, "late_s": 2.0}, {"hang": 1},
             {"busy": 1}])
         normal = {"share": 0, "late_s": 0, "hang": 0, "busy": 0}
-        return (lambda: m.alive() and self.c.set_mode(m, **mode),
-                lambda: m.alive() and self.c.set_mode(m, **normal))
+        return (lambda: self.set_minion(m, **mode),
+                lambda: self.set_minion(m, **normal))
 
     def link(self):
         route = self.rng.choice(sorted(self.c.routes) + ["*"])
@@ -109,6 +135,33 @@
         return (lambda: self.c.set_mode(self.c.store, mode=mode),
                 lambda: self.c.set_mode(self.c.store, mode="ok"))
 
+    def capacity(self):
+        m = self.more.choice(self.c.minions)
+        mcores = self.more.choice([1000, 3000, 5000])
+        return (lambda: self.set_minion(m, mcores=mcores),
+                lambda: self.set_minion(m, mcores=8000))
+
+    def deadly_task(self):
+        entry = self.more.randrange(len(self.c.entries))
+        refuse = self.more.randrange(2)
+        body = job(run_ms=60, crash_ms=10, count=self.more.choice([1, 3]))
+
+        def send():
+            for m in self.c.minions:
+                self.set_minion(m, refuse=refuse)
+            self.c.submit(entry, body, wait_ms=4000)
+        return send, lambda: None
+
+    def narrow_link(self):
+        i = self.more.randrange(len(self.c.entries))
+        rate = self.more.choice([30000, 250000])
+        names = ["entry-%d" % i, "store-%d" % i]
+
+        def limit(rate):
+            for name in names:
+                self.c.set_fault(name, link="link-%d" % i, rate=rate)
+        return lambda: limit(rate), lambda: limit(0)
+
     def publish(self):
         def change():
             with self.lock:
@@ -149,12 +202,15 @@
         self.c.set_fault("*", delay_ms=0)
         self.c.set_fault("*", drop="")
         self.c.set_fault("*", cut=False)
+        self.c.set_fault("*", link="none", rate=0)
         self.c.set_mode(self.c.store, mode="ok")
         for p in self.c.entries + self.c.agents + self.c.minions:
             if p.alive():
                 p.resume()
             else:
                 p.start()
+        for m in self.c.minions:
+            self.set_minion(m, mcores=8000)
 
     def check(self, callers, before):
         began = time.monotonic()
