Tests: record a killed minion as gone before its port closes

Cause, by a run: the test killed the minion, and recorded that 2 to 8 ms later; the agent finds the closed port at once, and the start elsewhere came 2.8 to 6.5 ms after the kill. Beside 16 busy processes 3 of 4 runs had the start before the record in one of two kills, 2 failed; with a pause of 0.1 s between kill and record both kills fail on a quiet machine. Ruled out: a start while the minion still ran; each start came after the process was dead.

The minion is stopped, recorded and then killed: no run goes on after the record, and nobody can tell before it. The check is as strict as before.

--- a/tests/process/test_crashes.py
+++ b/tests/process/test_crashes.py
@@ -1,6 +1,7 @@
 """Process tests of tasks that crash the minion that runs them, and of minions
 whose capacity changes while they run."""
 import os
+import socket
 import threading
 import time
 
@@ -46,6 +47,29 @@
         return answers
 
 
+class Records(PlatformTest):
+    # Guards against a check that takes a task for run twice: it was started
+    # elsewhere before the minion that had run it was recorded as gone.
+    def test_a_killed_minion_is_recorded_before_its_port_closes(self):
+        c = self.cluster(entries=0, agents=1, seeds=["127.0.0.1:1"])
+        host, port = c.minions[0].address.split(":")
+        refused = []
+
+        def connect_until_refused():
+            while not refused:
+                try:
+                    socket.create_connection((host, int(port))).close()
+                except ConnectionError:  # refused, or reset as it closed
+                    refused.append(time.monotonic())
+        thread = threading.Thread(target=connect_until_refused, daemon=True)
+        thread.start()
+        c.kill_minion(0)
+        thread.join(5)
+        gone = [e["at"] for e in c.events() if e["what"] == "gone"]
+        self.assertEqual(len(gone), 1)
+        self.assertLess(gone[0], refused[0])
+
+
 class Noticing(CrashTest):
     # Guards against a crash that is found out only by timeouts: the closed
     # port of the minion refuses every call at once.
@@ -70,8 +94,7 @@
         self.assertTrue(wait_until(lambda: [
             e for e in c.events() if e["used"] == 1000][-1]["what"] == "start"))
         minion = c.events()[-1]["minion"]
-        c.minions[minion].pause()
-        c.record_minion_exit(minion)
+        c.stop_minion(minion)
         self.assertTrue(wait_until(lambda: answers))
         self.assertEqual(answers[0][0], 200)
         c.minions[minion].resume()
--- a/tools/platform_cluster.py
+++ b/tools/platform_cluster.py
@@ -261,18 +261,27 @@
                    if end >= since)
 
     def kill_minion(self, i):
-        """Kills minion i, which ends its runs."""
+        """Kills minion i, which ends its runs.  It is stopped and recorded as
+        gone first: once its port is closed, an agent has its tasks started
+        elsewhere within milliseconds."""
+        self.stop_minion(i)
         self.minions[i].kill()
-        self.record_minion_exit(i)
 
     def pause_minion(self, i, seconds):
         """Pauses minion i for longer than a lease, so that its runs lapse."""
         assert seconds > LEASE_MAX_S
-        self.minions[i].pause()
-        self.record_minion_exit(i)
+        self.stop_minion(i)
         time.sleep(seconds)
         self.minions[i].resume()
 
+    def stop_minion(self, i):
+        """Stops the process of minion i and records that its runs are gone."""
+        if self.minions[i].alive():
+            self.minions[i].pause()
+            os.waitid(os.P_PID, self.minions[i].popen.pid,
+                      os.WSTOPPED | os.WEXITED | os.WNOWAIT)
+        self.record_minion_exit(i)
+
     def record_minion_exit(self, i):
         with open(os.path.join(self.dir, "minion-%d.runs" % i), "a") as f:
             f.write(json.dumps({"what": "gone", "at": time.monotonic()})
