Roster: members that a peer's dump lacks have ended

Ruled out: that a dump lacks live members; a peer answers only once it has caught up with the log, and members repeat their join records within its retention. Adoption isn't concerned: complete_from moves to the dump's offset.

An entry that the dump lacks itself announces itself again.

--- a/include/lagoonvale/roster.h
+++ b/include/lagoonvale/roster.h
@@ -43,6 +43,7 @@
  * @joined: offset of its join record
  * @ended: offset of the record that ended it, 0 while active
  * @ended_ms: log time of that record
+ * @listed: it is in the dump that was loaded last
  * @priv: for the caller; ros_expire() keeps the member while it is set
  */
 struct ros_member
@@ -57,6 +58,7 @@
   uint64_t joined;
   uint64_t ended;
   uint64_t ended_ms;
+  bool listed;
   void *priv;
   struct ros_member *next;
   UT_hash_handle hh;
@@ -128,8 +130,7 @@
  * @log_ms: stands in for the log time of the join records
  * @dump: from ros_dump()
  *
- * Active members that @dump lacks stay active, unless a member of the same
- * name joins.
+ * Active members that @dump lacks have ended, at some offset up to @offset.
  *
  * Return: true if applied; false if @dump is not a JSON array or @offset is
  * not newer than the roster's.
--- a/src/entry_log.c
+++ b/src/entry_log.c
@@ -53,29 +53,34 @@
   talloc_free (record);
 }
 
+/* Connect to M, or stop using it, as its membership says.  */
 static void
-member_changed (struct ent_entry *e, struct ros_member *m)
+follow_member (struct ent_entry *e, struct ros_member *m)
 {
   if (m->incarnation == e->incarnation)
     {
       e->joined = m->ended == 0 ? m->joined : 0;
       if (m->ended != 0)
         e->next_refresh_ns = 0;
-      return;
     }
-  log_line (LOGL_INFO, "member",
-            "member=%s incarnation=%016" PRIx64 " domain=%s state=%s "
-            "offset=%" PRIu64,
-            m->name, m->incarnation, m->domain,
-            m->ended == 0 ? "joined" : "ended", e->roster.offset);
-  if (m->role != ROS_AGENT)
-    return;
-  if (m->ended == 0)
+  else if (m->role == ROS_AGENT && m->ended == 0)
     ent_link_add (e, m);
-  else
+  else if (m->role == ROS_AGENT)
     ent_link_set_leaving (e, m);
 }
 
+static void
+member_changed (struct ent_entry *e, struct ros_member *m)
+{
+  if (m->incarnation != e->incarnation)
+    log_line (LOGL_INFO, "member",
+              "member=%s incarnation=%016" PRIx64 " domain=%s state=%s "
+              "offset=%" PRIu64,
+              m->name, m->incarnation, m->domain,
+              m->ended == 0 ? "joined" : "ended", e->roster.offset);
+  follow_member (e, m);
+}
+
 static void
 members_begin (uint64_t first, void *priv)
 {
@@ -119,10 +124,7 @@
   e->members_known = true;
   lgt_seek (e->members_tail, offset + 1);
   LL_FOREACH (e->roster.members, m)
-  {
-    if (m->role == ROS_AGENT && m->ended == 0)
-      ent_link_add (e, m);
-  }
+  follow_member (e, m);
   ent_publish_view (e);
 }
 
--- a/src/roster.c
+++ b/src/roster.c
@@ -275,6 +275,12 @@
   return m;
 }
 
+static uint64_t
+read_incarnation (struct json_object *record)
+{
+  return strtoull (jsx_string (record, "incarnation", "0"), NULL, 16);
+}
+
 struct ros_member *
 ros_apply (struct ros_roster *r, uint64_t offset, uint64_t log_ms,
            struct lv_slice record)
@@ -282,8 +288,7 @@
   struct json_object *json = jsx_parse (record);
   struct ros_member *m = NULL;
   const char *type = jsx_string (json, "type", "");
-  uint64_t incarnation
-      = strtoull (jsx_string (json, "incarnation", "0"), NULL, 16);
+  uint64_t incarnation = read_incarnation (json);
 
   if (offset > r->offset)
     r->offset = offset;
@@ -331,6 +336,20 @@
   return talloc_strdup_append_buffer (text, "]");
 }
 
+/* End the active members that the dump loaded last did not list.  */
+static void
+end_unlisted (struct ros_roster *r, uint64_t offset, uint64_t log_ms)
+{
+  struct ros_member *m;
+
+  LL_FOREACH (r->members, m)
+  {
+    if (!m->listed)
+      end_member (r, m, offset, log_ms);
+    m->listed = false;
+  }
+}
+
 bool
 ros_load (struct ros_roster *r, uint64_t offset, uint64_t log_ms,
           struct lv_slice dump)
@@ -347,9 +366,15 @@
   for (size_t i = 0; i < n; i++)
     {
       struct json_object *record = json_object_array_get_idx (json, i);
+      struct ros_member *m;
+
       ros_apply (r, offset, log_ms,
                  lv_slice_of (json_object_to_json_string (record)));
+      m = ros_find (r, read_incarnation (record));
+      if (m != NULL)
+        m->listed = true;
     }
+  end_unlisted (r, offset, log_ms);
   r->complete_from = offset;
   json_object_put (json);
   return true;
--- a/tests/unit/members_rules_test.cc
+++ b/tests/unit/members_rules_test.cc
@@ -137,6 +137,40 @@
   ros_finish (other);
 }
 
+/* Guards against a server that has left staying in use: its end was recorded
+   while this process was cut off, and the peer's roster no longer has it.  */
+TEST_F (Roster, MembersThatADumpLacksHaveEnded)
+{
+  const struct
+  {
+    unsigned left;
+    bool ended;
+  } cases[] = { { 1, false }, { 2, true }, { 3, true }, { 4, false } };
+  apply (join ("a", 1, "x"));
+  struct ros_roster *peer = talloc (mem, struct ros_roster);
+  ros_init (peer, mem);
+  std::string first = join ("a", 1, "x");
+  ros_apply (peer, 1, 1000, { first.data (), first.size () });
+  apply (join ("b", 2, "y"));
+  apply (join ("c", 3, "z"));
+  std::string last = join ("d", 4, "x");
+  ros_apply (peer, 9, 9000, { last.data (), last.size () });
+  char *dump = ros_dump (mem, peer);
+
+  EXPECT_TRUE (ros_load (r, 9, 9000, lv_slice_of (dump)));
+  for (const auto &c : cases)
+    {
+      SCOPED_TRACE (c.left);
+      const struct ros_member *m = ros_find (r, c.left);
+      ASSERT_NE (m, nullptr);
+      EXPECT_EQ (m->ended != 0, c.ended);
+      EXPECT_EQ (ros_active_at (m, 9), !c.ended);
+    }
+  for (unsigned b = 0; b < ROS_BUCKETS; b++)
+    ASSERT_EQ (ros_homes_digest (r, b), ros_homes_digest (peer, b)) << b;
+  ros_finish (peer);
+}
+
 TEST_F (Roster, TrimmedRecordsLimitWhatIsKnown)
 {
   ros_start_at (r, 1);
