A fence that a full ledger cannot record: modelled, told and logged

The adopter takes any refusal as an agent that isn't fenced and answers "may have run", so nothing ran twice; but nobody could tell a full ledger from an old submission. The answer says which (LVP_FENCE_FULL; an older entry takes it as before), and the agent logs refuse-fence.

The model took a fence that could not be recorded for one that is held, with whatever ballot was in memory. A mode that doesn't exist is an error.

--- a/proto/lvproto.x
+++ b/proto/lvproto.x
@@ -123,7 +123,7 @@
 };
 
 enum lvp_fence_status { LVP_FENCE_OK = 0, LVP_FENCE_HELD = 1,
-  LVP_FENCE_EXPIRED = 2 };
+  LVP_FENCE_EXPIRED = 2, LVP_FENCE_FULL = 3 };
 
 struct lvp_fence_res
 {
--- a/src/agent_calls.c
+++ b/src/agent_calls.c
@@ -191,6 +191,23 @@
   attach_or_answer (s, xid, &sid, task);
 }
 
+/* Log why the fence CALL is not in force here; the adopter answers "may have
+   run" then.  */
+static lvp_fence_status
+refuse_fence (const struct agt_session *s, const lvp_fence *call, int code)
+{
+  bool full = code == -ENOSPC;
+  char text[SID_TEXT_MAX];
+  struct sid_id sid = wir_to_sid (&call->sid);
+
+  sid_format (&sid, text);
+  log_ratelimited (
+      LOGL_WARN, "refuse-fence", "sid=%s ballot=%" PRIx64 " why=%s peer=%s",
+      text, (uint64_t)call->ballot,
+      full ? "ledger-full" : "outside-roster-or-window", onc_peer (s->conn));
+  return full ? LVP_FENCE_FULL : LVP_FENCE_EXPIRED;
+}
+
 void
 agt_on_fence (struct agt_session *s, uint32_t xid, XDR *args)
 {
@@ -229,7 +246,7 @@
       res.port = held.port;
     }
   else
-    res.status = LVP_FENCE_EXPIRED;
+    res.status = refuse_fence (s, &call, rc);
   onc_reply (s->conn, xid, (xdrproc_t)xdr_lvp_fence_res, &res);
 }
 
--- a/src/lvproto.h
+++ b/src/lvproto.h
@@ -146,6 +146,7 @@
 	LVP_FENCE_OK = 0,
 	LVP_FENCE_HELD = 1,
 	LVP_FENCE_EXPIRED = 2,
+	LVP_FENCE_FULL = 3,
 };
 typedef enum lvp_fence_status lvp_fence_status;
 
--- a/tests/model/model.c
+++ b/tests/model/model.c
@@ -15,6 +15,11 @@
  *                       both adopters draw the same ballot, nothing else goes
  *                       wrong; searches deep enough for both to start tasks,
  *                       and expects no violation
+ *   model --full-ledger the ledger of one agent is full and may get room at
+ *                       any time, nothing else goes wrong
+ *   model --expect-full-bug
+ *                       counts a fence that a full ledger cannot record as
+ *                       accepted; the search must find the double start
  *
  * A second argument is the depth of the search.
  */
@@ -36,6 +41,7 @@
 #define MESSAGES_MAX 24
 #define DEPTH_MAX 14
 #define STATES_MAX 3000000U
+#define LEDGER_BYTES (1 << 20)
 
 enum message_type
 {
@@ -54,7 +60,7 @@
   unsigned char task;
   unsigned char round;
   bool polite;
-  signed char result; /* enum sub_outcome, or 1 for a refused fence */
+  signed char result; /* enum sub_outcome, or a fence's negative error */
   uint64_t ballot;
   unsigned char started; /* bit set of tasks */
 };
@@ -67,6 +73,7 @@
   GIVE_UP,    /* owner a, task c */
   ADOPT,      /* owner a begins an adoption */
   CRASH,      /* agent b */
+  MAKE_ROOM,  /* in the ledger of agent b */
 };
 
 struct action
@@ -104,10 +111,50 @@
 };
 
 static const struct sid_id sid = { .owner = 1, .roster = 1, .seq = 1 };
-static bool majority_bug;
-static bool equal_ballots;
 static const char double_start[] = "a task was started twice";
 
+/**
+ * struct mode - what is searched
+ * @flag: argument that selects it
+ * @depth: of the search, unless the second argument says otherwise
+ * @any_failure: connections and agents fail
+ * @equal_ballots: both adopters draw the same ballot, and nobody owns the
+ * submission before
+ * @full_ledger: that of agent 0 is full at first
+ * @crashed_is_fenced: mistake put in: a crashed agent counts as fenced
+ * @full_is_fenced: mistake put in: an agent that cannot record a fence does
+ * @expected: the violation to be found, NULL if none is
+ */
+struct mode
+{
+  const char *flag;
+  unsigned depth;
+  bool any_failure;
+  bool equal_ballots;
+  bool full_ledger;
+  bool crashed_is_fenced;
+  bool full_is_fenced;
+  const char *expected;
+};
+
+static const struct mode modes[] = {
+  { .flag = "", .depth = 9, .any_failure = true },
+  { .flag = "--expect-bug",
+    .depth = 9,
+    .any_failure = true,
+    .crashed_is_fenced = true,
+    .expected = double_start },
+  { .flag = "--equal-ballots", .depth = DEPTH_MAX, .equal_ballots = true },
+  { .flag = "--full-ledger", .depth = 12, .full_ledger = true },
+  { .flag = "--expect-full-bug",
+    .depth = 12,
+    .full_ledger = true,
+    .full_is_fenced = true,
+    .expected = double_start },
+};
+
+static const struct mode *mode = &modes[0];
+
 static void
 send_message (struct state *st, struct message m)
 {
@@ -124,12 +171,14 @@
   st->mem_ctx = talloc_new (NULL);
   for (int i = 0; i < AGENTS; i++)
     {
-      led_init (&st->ledger[i], st->mem_ctx, 1 << 20, 1000, 1000);
+      size_t bytes = mode->full_ledger && i == 0 ? 0 : LEDGER_BYTES;
+
+      led_init (&st->ledger[i], st->mem_ctx, bytes, 1000, 1000);
       st->ledger[i].joined = 1;
     }
   for (int i = 0; i < OWNERS; i++)
     sub_init (&st->owner[i].core, st->owner[i].tasks, TASKS);
-  st->owner[0].active = !equal_ballots;
+  st->owner[0].active = !mode->equal_ballots;
 }
 
 static void
@@ -200,15 +249,13 @@
   uint32_t indices[TASKS];
   unsigned n;
   struct message r = *m;
+  int rc = led_fence (&st->ledger[m->agent], &sid, &next, m->polite, 0, &held);
 
   r.type = FENCE_REPLY;
-  r.result = 0;
+  r.result = (signed char)rc;
   r.started = 0;
-  if (led_fence (&st->ledger[m->agent], &sid, &next, m->polite, 0, &held) != 0)
-    {
-      r.result = 1;
-      r.ballot = held.ballot;
-    }
+  if (rc == -EBUSY)
+    r.ballot = held.ballot;
   n = led_list_started (&st->ledger[m->agent], &sid, indices, TASKS);
   for (unsigned i = 0; i < n; i++)
     r.started |= (unsigned char)(1U << indices[i]);
@@ -295,8 +342,10 @@
 
   if (!owner->adopting || m->round != owner->round)
     return;
-  if (m->result != 0)
+  if (m->result == -EBUSY)
     adp_set_held (&owner->adoption, m->agent, &rival);
+  else if (m->result != 0 && !mode->full_is_fenced)
+    adp_set_unavailable (&owner->adoption, m->agent);
   else
     {
       owner->reported[m->agent] = m->started;
@@ -351,7 +400,7 @@
 begin_adoption (struct state *st, unsigned o)
 {
   struct owner *owner = &st->owner[o];
-  struct led_holder self = { equal_ballots ? 10 : 10 * o, o, 1 };
+  struct led_holder self = { mode->equal_ballots ? 10 : 10 * o, o, 1 };
 
   owner->adopting = true;
   owner->round++;
@@ -368,7 +417,7 @@
     if (st->owner[o].adopting
         && st->owner[o].agents[agent].state == ADP_PENDING)
       {
-        if (majority_bug)
+        if (mode->crashed_is_fenced)
           adp_set_fenced (&st->owner[o].adoption, agent);
         else
           adp_set_unavailable (&st->owner[o].adoption, agent);
@@ -412,6 +461,9 @@
     case CRASH:
       crash_agent (st, a.b);
       return;
+    case MAKE_ROOM:
+      st->ledger[a.b].max_bytes = LEDGER_BYTES;
+      return;
     }
 }
 
@@ -435,14 +487,14 @@
   if (o > 0 && !owner->active && !owner->adopting && owner->round == 0)
     out[n++] = (struct action){ ADOPT, (unsigned char)o, 0, 0 };
   for (unsigned b = 0; b < AGENTS; b++)
-    if (!equal_ballots && has_messages_in_flight (st, o, b))
+    if (mode->any_failure && has_messages_in_flight (st, o, b))
       out[n++] = (struct action){ DISCONNECT, (unsigned char)o,
                                   (unsigned char)b, 0 };
   if (!owner->active)
     return n;
   for (unsigned t = 0; t < TASKS; t++)
     {
-      if (!equal_ballots && owner->tasks[t].state == SUB_UNRESOLVED)
+      if (mode->any_failure && owner->tasks[t].state == SUB_UNRESOLVED)
         out[n++] = (struct action){ GIVE_UP, (unsigned char)o, 0,
                                     (unsigned char)t };
       for (unsigned b = 0; b < AGENTS; b++)
@@ -463,8 +515,12 @@
   for (unsigned o = 0; o < OWNERS; o++)
     n += enabled_owner_actions (st, o, out + n);
   for (unsigned b = 0; b < AGENTS; b++)
-    if (!equal_ballots && !st->crashed[b] && !st->crashed[1 - b])
-      out[n++] = (struct action){ CRASH, 0, (unsigned char)b, 0 };
+    {
+      if (mode->any_failure && !st->crashed[b] && !st->crashed[1 - b])
+        out[n++] = (struct action){ CRASH, 0, (unsigned char)b, 0 };
+      if (st->ledger[b].max_bytes < LEDGER_BYTES)
+        out[n++] = (struct action){ MAKE_ROOM, 0, (unsigned char)b, 0 };
+    }
   return n;
 }
 
@@ -488,6 +544,7 @@
     fields[1] |= 1ULL << indices[k];
   if (l->by_id != NULL && led_fence (l, &sid, &probe, true, 0, &held) != 0)
     fields[3] = held.ballot | (uint64_t)held.addr << 32;
+  fields[2] |= (uint64_t)(l->max_bytes > 0) << 1;
   fields[2] |= l->tasks << 8; /* tombstones count as tasks */
   return XXH3_64bits_withSeed (fields, sizeof fields, h);
 }
@@ -552,7 +609,8 @@
 print_path (const struct node *node)
 {
   static const char *const names[]
-      = { "deliver", "send", "disconnect", "give-up", "adopt", "crash" };
+      = { "deliver", "send",  "disconnect", "give-up",
+          "adopt",   "crash", "make-room" };
 
   for (unsigned i = 0; i < node->depth; i++)
     printf ("  %u. %s %u %u %u\n", i + 1, names[node->path[i].kind],
@@ -633,6 +691,16 @@
   return NULL;
 }
 
+/* Return: the mode that FLAG selects, or NULL.  */
+static const struct mode *
+find_mode (const char *flag)
+{
+  for (unsigned i = 0; i < sizeof modes / sizeof modes[0]; i++)
+    if (strcmp (modes[i].flag, flag) == 0)
+      return &modes[i];
+  return NULL;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -640,15 +708,16 @@
   struct state st;
   struct action none = { 0, 0, 0, 0 };
   const char *violation = NULL;
-  unsigned depth_max = 9;
+  unsigned depth_max;
   unsigned deepest = 0;
 
-  majority_bug = argc > 1 && strcmp (argv[1], "--expect-bug") == 0;
-  equal_ballots = argc > 1 && strcmp (argv[1], "--equal-ballots") == 0;
-  if (equal_ballots)
-    depth_max = DEPTH_MAX;
-  if (argc > 2)
-    depth_max = (unsigned)atoi (argv[2]);
+  mode = find_mode (argc > 1 ? argv[1] : "");
+  if (mode == NULL)
+    {
+      fprintf (stderr, "error: mode %s does not exist\n", argv[1]);
+      return 2;
+    }
+  depth_max = argc > 2 ? (unsigned)atoi (argv[2]) : mode->depth;
   if (depth_max > DEPTH_MAX)
     depth_max = DEPTH_MAX;
   s.queue = calloc (STATES_MAX, sizeof (struct node *)); /* NOLINT */
@@ -665,7 +734,5 @@
   if (s.overflows > 0)
     printf ("not searched: %u states with more than %d messages\n",
             s.overflows, MESSAGES_MAX);
-  return violation == (majority_bug ? double_start : NULL) && s.overflows == 0
-             ? 0
-             : 1;
+  return violation == mode->expected && s.overflows == 0 ? 0 : 1;
 }
--- a/tests/run.py
+++ b/tests/run.py
@@ -70,7 +70,11 @@
                 ("model-finds-a-seeded-bug",
                  [os.path.join(BUILD, "model"), "--expect-bug"]),
                 ("model-with-equal-ballots",
-                 [os.path.join(BUILD, "model"), "--equal-ballots"])] + jobs
+                 [os.path.join(BUILD, "model"), "--equal-ballots"]),
+                ("model-with-a-full-ledger",
+                 [os.path.join(BUILD, "model"), "--full-ledger"]),
+                ("model-finds-a-fence-that-was-not-recorded",
+                 [os.path.join(BUILD, "model"), "--expect-full-bug"])] + jobs
     known_failures = read_known_failures()
     passed, failed, ignored = 0, 0, []
     with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
