Runner: a fencing token that is always refused no longer wraps

Cause, by computing with the former lines: the step doubles at each refusal without a bound; after 54 refusals, some five seconds of polls, the token was negative on the wire, after 70 it was below its start, with a step of 0, so it never rose again. It takes a minion that refuses every token, or has seen one near 2^63.

The token is a pure module now, fencetoken: it stops at the highest number that minions read.

--- a/include/lagoonvale/lagoonvale.h
+++ b/include/lagoonvale/lagoonvale.h
@@ -17,7 +17,8 @@
  * Dispatch:  jobtable, candidate, backlog, retryafter, steplog, amount
  * Config:    catalog, confsync, pacer, textpool
  * Crashes:   crashlog, bulkhead, orderrate
- * Agents:    runtracker, minion, minionhealth, leasebounds, renewal
+ * Agents:    runtracker, minion, minionhealth, leasebounds, renewal,
+ *            fencetoken
  * Discovery: directory, subset
  * Names:     name, nametable
  * Logs:      timeline
@@ -38,6 +39,7 @@
 #include "lagoonvale/crashlog.h"
 #include "lagoonvale/directory.h"
 #include "lagoonvale/estimate.h"
+#include "lagoonvale/fencetoken.h"
 #include "lagoonvale/grant.h"
 #include "lagoonvale/health.h"
 #include "lagoonvale/histogram.h"
--- a/src/runner.c
+++ b/src/runner.c
@@ -135,8 +135,7 @@
   r->minion_lost = on_minion_lost;
   r->silence_ended = on_silence_ended;
   r->incarnation = rnd_u64 ();
-  r->token = clk_wall_ms ();
-  r->token_step = RNR_TOKEN_STEP;
+  ftk_init (&r->token, clk_wall_ms ());
   rnw_init (&r->minion.renewal, clk_now (), settings->lease_max_ms * CLK_MS);
   mnh_init (&r->minion.health);
   rtk_init (&r->tracker, mem_ctx, &events);
--- a/src/runner.h
+++ b/src/runner.h
@@ -12,9 +12,10 @@
 
 #include <tevent.h>
 
-#include "lagoonvale/leasebounds.h"
 #include "lagoonvale/counter.h"
+#include "lagoonvale/fencetoken.h"
 #include "lagoonvale/histogram.h"
+#include "lagoonvale/leasebounds.h"
 #include "lagoonvale/minion.h"
 #include "lagoonvale/minionhealth.h"
 #include "lagoonvale/orderrate.h"
@@ -126,8 +127,7 @@
   struct rtk_tracker tracker;
   struct orr_rates order_rates; /* times by clk_now() */
   struct rnr_minion minion;
-  uint64_t token;      /* fencing token */
-  uint64_t token_step; /* added when the token is refused */
+  struct ftk_token token;
   struct rnr_session *sessions;
   uint64_t entries_chosen_ns;
   struct rnr_end *ends;
--- a/src/runner_minion.c
+++ b/src/runner_minion.c
@@ -32,7 +32,7 @@
 rnr_make_lease (struct rnr_runner *r, bool renew)
 {
   struct rnr_minion *m = &r->minion;
-  struct mnn_lease lease = { .token = r->token };
+  struct mnn_lease lease = { .token = r->token.value };
   uint64_t lease_ns = LBD_LEASE_NS;
   uint64_t now = clk_now ();
 
@@ -76,11 +76,10 @@
     r->minion.alive_ns = clk_boot ();
   if (result->answer != MNN_FENCED)
     return;
-  r->token += r->token_step;
-  r->token_step *= 2;
+  ftk_refuse (&r->token);
   ctr_add (&r->counters, RNR_FENCED, 1);
   log_line (LOGL_INFO, "fencing-token", "why=refused next=%llu",
-            (unsigned long long)r->token);
+            (unsigned long long)r->token.value);
 }
 
 static unsigned long long
@@ -155,7 +154,7 @@
                       clk_since (now, m->poll_answered_ns));
   m->poll_answered_ns = now;
   m->runs_known = true;
-  r->token_step = RNR_TOKEN_STEP;
+  ftk_accept (&r->token);
 }
 
 static void
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -199,7 +199,5 @@
 
 /** A minion whose last answer is older than this gets no starts, ns. */
 #define RNR_MINION_TIMEOUT_NS (450 * CLK_MS)
-/** First increment after a refused fencing token; doubled each time. */
-#define RNR_TOKEN_STEP 1000
 
 #endif
--- a/src/runner_runs.c
+++ b/src/runner_runs.c
@@ -55,7 +55,7 @@
 {
   struct rnr_runner *r = priv;
 
-  r->ops->stop (r->ops_priv, run, r->token, stop_answered,
+  r->ops->stop (r->ops_priv, run, r->token.value, stop_answered,
                 new_run_call (r, run));
 }
 
--- a/tests/unit/dispatch_test.cc
+++ b/tests/unit/dispatch_test.cc
@@ -6,6 +6,7 @@
 {
 #include "lagoonvale/candidate.h"
 #include "lagoonvale/catalog.h"
+#include "lagoonvale/fencetoken.h"
 #include "lagoonvale/leasebounds.h"
 #include "lagoonvale/jobtable.h"
 #include "lagoonvale/runtracker.h"
@@ -772,4 +773,51 @@
   EXPECT_LT (cat_build_index (c), 0);
   talloc_free (c);
 }
+
+/* Guards against a token that wraps: after some fifty refusals it was lower
+   than those of former lives, and negative on the wire.  */
+TEST (FenceToken, RisesAboveWhatTheMinionHasSeenAndNeverWraps)
+{
+  const struct
+  {
+    uint64_t wall_ms, seen;
+    unsigned refusals;
+    bool reached;
+  } cases[] = {
+    { 1000, 1000, 0, true },
+    { 1000, 500000, 9, true },
+    { 0, 1800000000000ULL, 31, true }, /* a clock that begins at zero */
+    { 1800000000000ULL, FTK_MAX, 70, true },
+    { UINT64_MAX, FTK_MAX, 0, true },
+    { 1000, UINT64_MAX, 200, false },
+  };
+  for (const auto &c : cases)
+    {
+      struct ftk_token t;
+      ftk_init (&t, c.wall_ms);
+      unsigned refusals = 0;
+      for (; t.value < c.seen && refusals < 200; refusals++)
+        {
+          uint64_t before = t.value;
+          ftk_refuse (&t);
+          ASSERT_GE (t.value, before) << c.seen;
+          ASSERT_LE (t.value, FTK_MAX) << c.seen;
+        }
+      EXPECT_EQ (t.value >= c.seen, c.reached) << c.seen;
+      EXPECT_LE (refusals, c.refusals) << c.seen;
+    }
+}
+
+TEST (FenceToken, AnAcceptedTokenRisesBySmallStepsAgain)
+{
+  struct ftk_token t;
+  ftk_init (&t, 0);
+  for (int i = 0; i < 20; i++)
+    ftk_refuse (&t);
+  uint64_t before = t.value;
+  ftk_accept (&t);
+  EXPECT_EQ (t.value, before);
+  ftk_refuse (&t);
+  EXPECT_EQ (t.value, before + FTK_STEP_MS);
+}
 }
