A capacity that has shrunk to nothing is a capacity

Now no start follows the report, and its runs go on.

Test: MinionReports.test_a_capacity_may_shrink_to_nothing_and_grow_again, failed before. Changed: a case of Report.NamesAMinionToUseOrNone expected that such a report names no minion; it expects a capacity of 0, all other cases stay.

--- a/tests/process/test_runner.py
+++ b/tests/process/test_runner.py
@@ -10,7 +10,7 @@
 import unittest
 
 from cluster import BUILD, free_ports, http, wait_until
-from platform_cluster import SERVICE, PlatformCluster
+from platform_cluster import SERVICE, PlatformCluster, job
 
 JOIN, REPORT = 12, 13
 DIGEST = 7
@@ -150,6 +150,23 @@
         self.assertEqual(http("PUT", url, good)[0], 200)
         self.assertTrue(wait_until(lambda: c.metric(c.agents[0], free) == 4000))
 
+    # Guards against a capacity that has shrunk to nothing being taken for a
+    # report that cannot be read: starts would go by the former one for seconds.
+    def test_a_capacity_may_shrink_to_nothing_and_grow_again(self):
+        c = PlatformCluster(entries=1, agents=1, mcores=8000)
+        self.addCleanup(c.close)
+        c.await_ready()
+        free = "lagoonvale_free_mcores"
+        self.assertTrue(wait_until(lambda: c.metric(c.agents[0], free) == 8000))
+        for mcores, status in ((0, 503), (8000, 200), (0, 503), (8000, 200)):
+            c.set_mode(c.minions[0], mcores=mcores)
+            self.assertTrue(wait_until(
+                lambda: c.metric(c.agents[0], free) == mcores, 2))
+            time.sleep(0.2)
+            self.assertEqual(c.submit(0, job(run_ms=20), wait_ms=1000)[0],
+                             status)
+        self.assertEqual(c.rule_violations(), [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -129,7 +129,7 @@
     { "\"draining\"", "{\"cpu\":1,\"mem_mb\":0}", ",\"remaining_ms\":5",
       true, true, 1 },
     { "\"ready\"", "{\"cpu\":4294967296,\"mem_mb\":64}", "", false },
-    { "\"ready\"", "{\"cpu\":0,\"mem_mb\":64}", "", false },
+    { "\"ready\"", "{\"cpu\":0,\"mem_mb\":64}", "", true, false, 0 },
     { "\"ready\"", "{\"cpu\":-1,\"mem_mb\":64}", "", false },
     { "\"ready\"", "{\"cpu\":8000}", "", false },
     { "\"ready\"", "{\"cpu\":8000,\"mem_mb\":64,\"gpu\":\"2\"}", "",
