Refusals for want of a minion that is large enough say when to come back

The dispatcher keeps the largest capacity of each agent: what one of them has had may come back, so the refusal says in a second.

Ruled out: holding such jobs until the capacity grows. Nothing tells when, and what can't be served now is refused at once. Test: Jobs.test_a_refusal_by_a_ shrunken_capacity_tells_when_to_come_back, failed before (no Retry-After).

--- a/include/lagoonvale/amount.h
+++ b/include/lagoonvale/amount.h
@@ -35,6 +35,18 @@
          && a->accelerators == b->accelerators;
 }
 
+/** amt_raise() - raise each resource of @peak to that of @a at least. */
+static inline void
+amt_raise (struct amt_amount *peak, const struct amt_amount *a)
+{
+  if (a->mcores > peak->mcores)
+    peak->mcores = a->mcores;
+  if (a->memory_mb > peak->memory_mb)
+    peak->memory_mb = a->memory_mb;
+  if (a->accelerators > peak->accelerators)
+    peak->accelerators = a->accelerators;
+}
+
 /** amt_saturating_sub() - @a - @b, clamped to 0. */
 static inline uint32_t
 amt_saturating_sub (uint32_t a, uint32_t b)
--- a/src/dispatch_jobs.c
+++ b/src/dispatch_jobs.c
@@ -12,6 +12,8 @@
 #define RUN_TIME_MARGIN 3
 /* Retry delay for callers that another entry can serve at once, ms.  */
 #define RETRY_ELSEWHERE_MS 1000
+/* Retry delay for jobs that fit into no agent now, but did before, ms.  */
+#define RETRY_SHRUNK_MS 1000
 /* Retry delay for jobs of a confined queue, ms: until it may be released.  */
 #define RETRY_CONFINED_MS (BLK_RELEASE_NS / CLK_MS)
 /* For jobs that are never accepted as they are.  */
@@ -332,7 +334,11 @@
     }
   if (!any_agent_could_fit (d, job))
     {
-      refuse (d, job, "no-agent-fits", RETRY_NEVER);
+      bool never = flt_never_fits (
+          &d->fleet, lv_slice_of (job->queue->service), &job->need);
+
+      refuse (d, job, never ? "no-agent-fits" : "no-agent-fits-now",
+              never ? RETRY_NEVER : RETRY_SHRUNK_MS);
       return;
     }
   accepted = jtb_add (&d->jobs, &params, clk_now ());
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -137,6 +137,7 @@
   a->synced = report->synced;
   a->accepting = report->accepting;
   a->total = wir_to_amount (&report->total);
+  amt_raise (&a->peak, &a->total);
   a->free = wir_to_amount (&report->free);
   apply_health (a, report);
   while (a->pending_count > 0
@@ -232,3 +233,21 @@
   c.at_risk = c.has_suspect || a->confining;
   return c;
 }
+
+bool
+flt_never_fits (const struct flt_fleet *f, struct lv_slice service,
+                const struct amt_amount *need)
+{
+  const struct flt_agent *a;
+  bool any = false;
+
+  DL_FOREACH (f->agents, a)
+  {
+    if (!lv_slice_eq (lv_slice_of (a->service), service))
+      continue;
+    if (amt_fits (&a->peak, need))
+      return false;
+    any = true;
+  }
+  return any;
+}
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -34,6 +34,7 @@
  * @conn: NULL while it is lost
  * @synced: it has listed all runs at its minion
  * @total: resources of its backend server
+ * @peak: the largest @total that it has had, of each resource
  * @free: as last reported, less what was ordered since
  * @stamp_ms: timestamp of its newest report, by its own clock
  * @last_report_ns: when that arrived, by clk_boot()
@@ -61,6 +62,7 @@
   bool synced;
   bool accepting;
   struct amt_amount total;
+  struct amt_amount peak;
   struct amt_amount free;
   uint64_t stamp_ms;
   uint64_t last_report_ns;
@@ -149,6 +151,12 @@
   return agent->conn != NULL && agent->accepting;
 }
 
+/** flt_never_fits() - whether agents of @service are known, and @need is
+ * beyond the peak of each: more than a capacity that has shrunk for a while.
+ */
+bool flt_never_fits (const struct flt_fleet *f, struct lv_slice service,
+                     const struct amt_amount *need);
+
 /** flt_candidate() - @agent as a candidate for tasks of @service. */
 struct cnd_candidate flt_candidate (const struct flt_agent *agent,
                                     struct lv_slice service,
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -185,13 +185,30 @@
             if delay:
                 c.entries[0].send(15)
                 time.sleep(0.1)
-            headers = {"Host": HOST, "X-Deadline-Ms": "3000"}
-            call = http_client.HTTPConnection(c.addresses[0]["jobs"], timeout=5)
-            call.request("POST", "/rush/" + os.urandom(8).hex(),
-                         json.dumps(job(mcores=mcores, run_ms=3000)), headers)
-            answer = call.getresponse()
-            self.assertEqual(answer.status, 503)
-            self.assertEqual(answer.getheader("Retry-After"), delay)
+            self.check_refused(c, mcores, delay)
+
+    # Guards against callers that are told never to come back, though only for
+    # a while no minion has the capacity that their tasks need.
+    def test_a_refusal_by_a_shrunken_capacity_tells_when_to_come_back(self):
+        c = self.ready(entries=1, agents=2, mcores=2000)
+        time.sleep(1.6)
+        for m in c.minions:
+            c.set_mode(m, mcores=1000)
+        self.assertTrue(wait_until(lambda: all(
+            c.metric(a, "lagoonvale_free_mcores") == 1000 for a in c.agents)))
+        time.sleep(0.5)
+        self.check_refused(c, 2000, "1")
+        self.check_refused(c, 3000, None)
+
+    def check_refused(self, c, mcores, delay):
+        """Checks the refusal of a job by its Retry-After."""
+        headers = {"Host": HOST, "X-Deadline-Ms": "3000"}
+        call = http_client.HTTPConnection(c.addresses[0]["jobs"], timeout=5)
+        call.request("POST", "/rush/" + os.urandom(8).hex(),
+                     json.dumps(job(mcores=mcores, run_ms=3000)), headers)
+        answer = call.getresponse()
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(answer.getheader("Retry-After"), delay)
 
     def test_what_cannot_begin_in_time_is_refused_not_held(self):
         c = self.ready(entries=1, agents=1)
