--- a/tests/unit/confsync_test.cc
+++ b/tests/unit/confsync_test.cc
@@ -2,6 +2,7 @@
 #include <cerrno>
 #include <gtest/gtest.h>
 #include <map>
+#include <random>
 #include <string>
 #include <talloc.h>
 #include <vector>
@@ -214,6 +215,144 @@
   talloc_free (after);
 }
 
+/* The versions that an operator publishes; each adds a queue, every third
+   withdraws one.  */
+struct Published
+{
+  std::vector<struct cat_config *> versions;
+  std::vector<std::string> withdrawn; /* by version, "" for none */
+
+  explicit Published (unsigned count)
+  {
+    Queues queues = numbered (100);
+    for (unsigned v = 0; v < count; v++)
+      {
+        std::string gone = v % 3 == 2 ? "/q" + std::to_string (v) + "/" : "";
+        queues["/new" + std::to_string (v) + "/"] = v;
+        queues.erase (gone);
+        versions.push_back (make_config (
+            v + 1, queues, versions.empty () ? nullptr : versions.back ()));
+        withdrawn.push_back (gone);
+      }
+  }
+  ~Published ()
+  {
+    for (auto *c : versions)
+      talloc_free (c);
+  }
+  /* Whether CONFIG is its version to the letter, without what was withdrawn. */
+  bool
+  has (const struct cat_config *config) const
+  {
+    bool known = config->version <= versions.size ()
+                 && versions[config->version - 1]->digest == config->digest;
+    for (unsigned v = 0; known && v < config->version; v++)
+      known = withdrawn[v].empty ()
+              || cat_find (config, lv_slice_of ("h.example"),
+                           lv_slice_of (withdrawn[v].c_str ()))
+                     == nullptr;
+    return known;
+  }
+};
+
+/* One of many entries that fetch configurations from each other.  */
+struct SpreadEntry
+{
+  struct cat_config *config = nullptr;
+  struct cfs_transfer transfer = {};
+  unsigned sender = 0;
+  unsigned regressions = 0;
+
+  ~SpreadEntry () { restart (); }
+  void
+  restart ()
+  {
+    cfs_reset (&transfer);
+    TALLOC_FREE (config);
+  }
+  void
+  adopt (struct cat_config *next)
+  {
+    uint64_t before = config != nullptr ? config->version : 0;
+    struct cat_config *former = config;
+    cfs_link (next, former);
+    config = cat_adopt (config, next);
+    regressions += config->version < before;
+  }
+  void
+  fetch_page (const struct cat_config *from)
+  {
+    const struct cfs_request request = cfs_next_request (&transfer, config);
+    struct cfs_page page;
+    struct cat_config *result = nullptr;
+    cfs_make_page (from, &request, &page);
+    cfs_accept (&transfer, config, &page, &result);
+    if (result != nullptr)
+      adopt (result);
+  }
+};
+
+struct cat_config *
+copy_config (const struct cat_config *c)
+{
+  Queues queues;
+  for (uint32_t i = 0; i < c->count; i++)
+    queues[c->queues[i].prefix] = c->queues[i].priority;
+  return make_config (c->version, queues);
+}
+
+// Guards against a key that was withdrawn and is in use again, at the size of
+// 55 entries: they restart at any time, two of them read the store, which is
+// away for a while, all others fetch pages from peers that may be behind, be
+// lost between two pages, or restart.
+TEST (Confsync, WithdrawnQueuesStayWithdrawnWhileManyEntriesRestart)
+{
+  constexpr unsigned kEntries = 55, kReaders = 2, kVersions = 12;
+  constexpr unsigned kVersionEvery = 60, kCalm = kVersionEvery * kVersions;
+  for (unsigned seed = 1; seed <= 5; seed++)
+    {
+      std::mt19937 random (seed);
+      Published published (kVersions);
+      std::vector<SpreadEntry> entries (kEntries);
+      unsigned wrong = 0, restarts = 0, regressions = 0;
+      for (unsigned step = 0; step < kCalm + 200; step++)
+        {
+          unsigned newest = std::min (step / kVersionEvery, kVersions - 1);
+          bool away = step > kCalm / 3 && step < kCalm / 2;
+          for (unsigned i = 0; i < kEntries; i++)
+            {
+              SpreadEntry &e = entries[i];
+              if (step < kCalm && random () % 400 == 0)
+                {
+                  e.restart ();
+                  restarts++;
+                }
+              if (random () % 20 == 0)
+                e.sender = random () % kEntries;
+              const struct cat_config *from = entries[e.sender].config;
+              /* An answer of the store may be late, and so of old.  */
+              unsigned late = step < kCalm && random () % 4 == 0 ? newest / 2 : 0;
+              if (i < kReaders && !away)
+                e.adopt (copy_config (published.versions[newest - late]));
+              else if (from != nullptr && random () % 10 != 0
+                       && (e.config == nullptr
+                           || from->version > e.config->version))
+                e.fetch_page (from);
+              wrong += e.config != nullptr && !published.has (e.config);
+            }
+        }
+      for (const SpreadEntry &e : entries)
+        {
+          regressions += e.regressions;
+          ASSERT_NE (e.config, nullptr);
+          EXPECT_EQ (e.config->version, kVersions);
+        }
+      EXPECT_EQ (wrong, 0u);
+      EXPECT_EQ (regressions, 0u);
+      EXPECT_GT (restarts, 50u);
+    }
+}
+
 TEST (Confsync, RemembersABoundedNumberOfRemovedQueues)
 {
   for (unsigned removed : { CFS_REMOVED_MAX, CFS_REMOVED_MAX + 1 })
