Entry: one direction of calls, no circle; dispatch split by job

The entry's twelve files called each other in a circle of 45 arrows.

Six events go up through struct ent_events, which entry.c fills; the tick asks the log part whether peers must be asked. entry.h lists the parts in that order. A topological sort of who calls whom finds no loop now.

Functions moved, their code did not change but for the events. Two mutants follow their lines.

--- a/src/entry.c
+++ b/src/entry.c
@@ -138,46 +138,6 @@
   [ENT_RPC_CALLS] = { "lagoonvale_entry_rpc_calls", "RPC calls sent", true },
 };
 
-static struct rul_set *
-parse_rules (struct ent_entry *e, void *mem_ctx)
-{
-  struct rul_error finding;
-  uint32_t count;
-  struct rul_set *set;
-
-  if (e->active_rules_text == NULL)
-    return xtalloc_zero (mem_ctx, struct rul_set);
-  set = rul_parse (mem_ctx, lv_slice_of (e->active_rules_text), &finding, 1,
-                   &count);
-  if (set != NULL)
-    set->version = e->active_rules_version;
-  return set;
-}
-
-/* Not inlined: tests/tsan.supp matches its caller in the stack trace.  */
-static __attribute__ ((noinline)) void
-retire_view (struct ent_view *old)
-{
-  synchronize_rcu ();
-  talloc_free (old);
-}
-
-void
-ent_publish_view (struct ent_entry *e)
-{
-  struct ent_view *old = e->view;
-  struct ent_view *view = xtalloc_zero (NULL, struct ent_view);
-
-  view->rules = parse_rules (e, view);
-  view->ready = e->rules_ready && e->members_known;
-  view->leaving = e->leaving;
-  atomic_store_explicit (&e->view, view, memory_order_release);
-  que_update_weights (&e->queue);
-  que_update_weights (&e->worker_queue);
-  if (old != NULL)
-    retire_view (old);
-}
-
 /* Each queue gets this entry's equal part of the fleet's slots and cores.  */
 static void
 update_slots (struct ent_entry *e)
@@ -265,6 +225,8 @@
   ent_link_tick (e, now);
   ent_peer_tick (e, now);
   ent_log_tick (e, now);
+  if (ent_log_must_sync (e, now))
+    ent_peer_sync (e);
   ent_record_tick (e, now);
   ent_record_expire (e, now);
   ros_expire (&e->roster, clk_wall_ms () - 4 * e->set.window_s * 1000);
@@ -360,6 +322,15 @@
   q->weight_priv = e;
 }
 
+static const struct ent_events events = {
+  .dispatch = ent_dispatch,
+  .resolve = ent_resolve,
+  .give_up = ent_call_give_up,
+  .submit_as = ent_submit_as,
+  .adopt = ent_adopt,
+  .adopt_preempt = ent_adopt_preempt,
+};
+
 int
 ent_start (struct ent_entry *e, struct tevent_context *ev,
            const struct ent_settings *settings, struct err_error *err)
@@ -367,6 +338,7 @@
   memset (e, 0, sizeof *e);
   e->set = *settings;
   e->ev = ev;
+  e->events = &events;
   e->incarnation = rnd_u64 ();
   if (apply_settings (e, err) != 0)
     return err->code;
--- a/src/entry.h
+++ b/src/entry.h
@@ -9,17 +9,24 @@
  *
  *   entry.c          startup, periodic work, shutdown
  *   entry_http.c     HTTP threads: accept, parse, answer
- *   entry_intake.c   handling of a request: submit, poll, cancel
- *   entry_admit.c    admission control
- *   entry_record.c   submissions on record and their answers
- *   entry_dispatch.c queue, choose a target, send, collect
- *   entry_worker.c   queue and placement of tasks that need a worker
- *   entry_link.c     connections to agents, credits, reconciliation
- *   entry_peer.c     connections to other entries: forwarding, heartbeats
  *   entry_inbound.c  requests from other entries
  *   entry_adopt.c    takeover of submissions whose owner is gone
+ *   entry_intake.c   handling of a request: submit, poll, cancel
  *   entry_bind.c     binding of caller-chosen keys at their homes
+ *   entry_peer.c     connections to other entries: forwarding, heartbeats
+ *   entry_dispatch.c choice of a target for the next task
+ *   entry_worker.c   placement of tasks that need a worker
+ *   entry_calls.c    start, resolve and cancel a task, collect its outcome
+ *   entry_open.c     open a record, or refuse a request
+ *   entry_record.c   submissions on record and their answers
+ *   entry_admit.c    admission control
+ *   entry_queue.c    the queues of tasks
  *   entry_log.c      the membership and rules streams
+ *   entry_link.c     connections to agents, credits, reconciliation
+ *   entry_view.c     rules and readiness as HTTP threads see them
+ *
+ * Each part calls those below it in this list, and tells those above it
+ * through struct ent_events.
  *
  * HTTP threads parse requests and pass them to the dispatch thread through a
  * wait-free queue; they read the rules and readiness under RCU.  All other
@@ -269,6 +276,29 @@
 
 struct ent_peer;
 struct ent_usage;
+struct ent_entry;
+
+/**
+ * struct ent_events - what the parts of an entry tell those above them
+ * @dispatch: tasks wait, and capacity may be free
+ * @resolve: the agent of @call is reachable again, to be asked for the outcome
+ * @give_up: the outcome of @call is lost; @step is where
+ * @submit_as: a key is bound to @sid: handle @r under that id
+ * @adopt: the owner of @sid is gone: adopt it for @r
+ * @adopt_preempt: so is the adopter that holds it by @ballot
+ */
+struct ent_events
+{
+  void (*dispatch) (struct ent_entry *e);
+  void (*resolve) (struct ent_call *call);
+  void (*give_up) (struct ent_call *call, const char *step);
+  void (*submit_as) (struct ent_entry *e, struct req_request *r,
+                     const struct sid_id *sid);
+  void (*adopt) (struct ent_entry *e, struct req_request *r,
+                 const struct sid_id *sid);
+  void (*adopt_preempt) (struct ent_entry *e, struct req_request *r,
+                         const struct sid_id *sid, uint64_t ballot);
+};
 
 /** struct ent_entry - caller-owned; belongs to the dispatch thread, except as
  * stated in the DOC section */
@@ -276,6 +306,7 @@
 {
   struct ent_settings set;
   struct tevent_context *ev;
+  const struct ent_events *events;
   uint64_t incarnation;
   struct ros_member self;
   uint32_t next_seq;
@@ -348,6 +379,9 @@
 bool ent_done (const struct ent_entry *e);
 /** ent_finish() - stop the HTTP server. */
 void ent_finish (struct ent_entry *e);
+
+/* entry_view.c */
+
 /** ent_publish_view() - publish rules and readiness to the HTTP threads. */
 void ent_publish_view (struct ent_entry *e);
 
@@ -365,6 +399,11 @@
 /** ent_submit_as() - handle @r as a submission under the id @sid. */
 void ent_submit_as (struct ent_entry *e, struct req_request *r,
                     const struct sid_id *sid);
+/** ent_mint_id() - mint a submission id. */
+void ent_mint_id (struct ent_entry *e, struct sid_id *sid);
+
+/* entry_open.c */
+
 /** ent_refuse() - answer @r with the refusal @why. */
 void ent_refuse (struct ent_entry *e, struct req_request *r,
                  struct req_refusal *why);
@@ -376,11 +415,39 @@
  * one was paused or disconnected
  */
 bool ent_maybe_adopted (const struct ent_entry *e, const struct sid_id *sid);
-/** ent_mint_id() - mint a submission id. */
-void ent_mint_id (struct ent_entry *e, struct sid_id *sid);
+
+/* entry_queue.c */
+
+/** ent_team_of() - team of a submission. */
+static inline struct lv_slice
+ent_team_of (const struct ent_record *rec)
+{
+  return lv_slice_of (rec->request->team);
+}
+
+/** ent_need_of() - the resources that @t declares. */
+struct capa_size ent_need_of (const struct req_task *t);
+/** ent_needs_worker() - whether @t declares resources. */
+bool ent_needs_worker (const struct req_task *t);
+/** ent_queue_for() - the queue for tasks like @t. */
+struct que_queue *ent_queue_for (struct ent_entry *e,
+                                 const struct req_task *t);
+/** ent_queued_count() - number of tasks in both queues. */
+size_t ent_queued_count (const struct ent_entry *e);
+/**
+ * ent_enqueue() - queue task @i of @rec
+ * @spread_ns: see que_push()
+ */
+void ent_enqueue (struct ent_record *rec, uint32_t i, uint64_t spread_ns);
+/** ent_unqueue() - remove a task from its queue, if it is queued. */
+void ent_unqueue (struct ent_entry *e, struct ent_task *task);
+/** ent_schedule_dispatch() - report the dispatch event soon, once. */
+void ent_schedule_dispatch (struct ent_entry *e);
 
 /* entry_admit.c */
 
+/** ent_count_entries() - number of entries in the membership, at least 1. */
+unsigned ent_count_entries (const struct ent_entry *e);
 /** ent_admit() - admission control. Return: whether @r may be queued. */
 bool ent_admit (struct ent_entry *e, const struct req_request *r,
                 struct req_refusal *why);
@@ -441,13 +508,11 @@
 
 /* entry_dispatch.c */
 
-/** ent_schedule_dispatch() - schedule a run of the dispatch loop. */
-void ent_schedule_dispatch (struct ent_entry *e);
-/**
- * ent_enqueue() - queue task @i of @rec
- * @spread_ns: see que_push()
- */
-void ent_enqueue (struct ent_record *rec, uint32_t i, uint64_t spread_ns);
+/** ent_dispatch() - start queued tasks while there is capacity for them. */
+void ent_dispatch (struct ent_entry *e);
+
+/* entry_calls.c */
+
 /** ent_track_started() - task @i of an adopted submission was started at agent
  * @incarnation: resolve its outcome. */
 void ent_track_started (struct ent_record *rec, uint32_t i,
@@ -457,15 +522,6 @@
 /** ent_send_start() - send @task, taken from its queue, to @link. */
 void ent_send_start (struct ent_link *link, struct ent_task *task,
                      uint64_t now_ns);
-/**
- * ent_link_usable() - whether @task may be sent to @link
- * @health: health of the target, the minion or the worker of @link
- */
-bool ent_link_usable (const struct ent_link *link,
-                      const struct hlt_target *health,
-                      const struct ent_task *task, uint64_t now_ns);
-/** ent_queued_count() - number of tasks in both queues. */
-size_t ent_queued_count (const struct ent_entry *e);
 /** ent_cancel() - cancel all queued and running tasks of @rec. */
 void ent_cancel (struct ent_record *rec);
 /** ent_call_give_up() - stop waiting for the outcome of @call; @step is where
@@ -474,21 +530,6 @@
 
 /* entry_worker.c */
 
-/** ent_needs_worker() - whether @t declares resources. */
-bool ent_needs_worker (const struct req_task *t);
-/** ent_queue_for() - the queue for tasks like @t. */
-struct que_queue *ent_queue_for (struct ent_entry *e,
-                                 const struct req_task *t);
-/** ent_worker_admit() - whether any worker is large enough for task @i. */
-bool ent_worker_admit (const struct ent_entry *e, const struct req_request *r,
-                       uint32_t i, struct req_refusal *why);
-/** ent_worker_update() - store the reported capacity of an agent's worker. */
-void ent_worker_update (struct ent_link *link, const lvp_room *room);
-/** ent_worker_clear() - set the worker's capacity to 0 until the next report.
- */
-void ent_worker_clear (struct ent_link *link);
-/** ent_unqueue() - remove a task from its queue, if it is queued. */
-void ent_unqueue (struct ent_entry *e, struct ent_task *task);
 /** ent_worker_pump() - start queued worker tasks while they fit. */
 void ent_worker_pump (struct ent_entry *e, uint64_t now_ns);
 
@@ -520,6 +561,14 @@
  */
 bool ent_link_ready (const struct ent_link *link);
 
+/**
+ * ent_link_usable() - whether @task may be sent to @link
+ * @health: health of the target, the minion or the worker of @link
+ */
+bool ent_link_usable (const struct ent_link *link,
+                      const struct hlt_target *health,
+                      const struct ent_task *task, uint64_t now_ns);
+
 /* entry_inbound.c */
 
 /** ent_inbound_listen() - listen for other entries. Return: 0 or -errno. */
@@ -557,21 +606,17 @@
 
 /** ent_log_open() - tail the membership and rules streams. */
 void ent_log_open (struct ent_entry *e);
-/**
- * ent_log_tick() - append refreshes that are due; until rules and members are
- * known, request them from the peers
- */
+/** ent_log_tick() - append refreshes that are due. */
 void ent_log_tick (struct ent_entry *e, uint64_t now_ns);
+/** ent_log_must_sync() - whether rules or members are unknown, and the peers
+ * are to be asked for them now. */
+bool ent_log_must_sync (struct ent_entry *e, uint64_t now_ns);
 /** ent_log_leave() - append a record that this entry has left. */
 void ent_log_leave (struct ent_entry *e);
-/** ent_log_end_member() - append a record that the unreachable @m is gone. */
-void ent_log_end_member (struct ent_entry *e, const struct ros_member *m);
 /** ent_log_activate_rules() - activate the last rules version read. */
 void ent_log_activate_rules (struct ent_entry *e, const char *source);
 /** ent_log_load_members() - load the members from a peer's ros_dump(). */
 void ent_log_load_members (struct ent_entry *e, uint64_t offset,
                            struct lv_slice dump);
-/** ent_count_entries() - number of entries in the membership, at least 1. */
-unsigned ent_count_entries (const struct ent_entry *e);
 
 #endif
--- a/src/entry_admit.c
+++ b/src/entry_admit.c
@@ -60,6 +60,17 @@
   add_usage (e, 'k', kind, n);
 }
 
+unsigned
+ent_count_entries (const struct ent_entry *e)
+{
+  const struct ros_member *m;
+  unsigned n = 0;
+
+  LL_FOREACH (e->roster.members, m)
+  n += m->role == ROS_ENTRY && m->ended == 0;
+  return n > 0 ? n : 1;
+}
+
 static bool
 subject_at_limit (struct ent_entry *e, char type, enum rul_subject subject,
                   struct lv_slice name)
@@ -156,6 +167,36 @@
   return true;
 }
 
+/* Whether any worker is large enough for task I of R.  */
+static bool
+any_worker_holds (const struct ent_entry *e, const struct req_request *r,
+                  uint32_t i, struct req_refusal *why)
+{
+  struct capa_size need = ent_need_of (&r->tasks[i]);
+  struct capa_size largest = { 0, 0, 0 };
+  const struct ent_link *link;
+  bool all_known = true;
+
+  DL_FOREACH (e->links, link)
+  {
+    if (capa_fits (&link->worker_capacity, &need))
+      return true;
+    all_known = all_known && link->was_established;
+    if (link->worker_capacity.cores > largest.cores)
+      largest = link->worker_capacity;
+  }
+  if (all_known && e->link_count > 0)
+    req_refuse (why, 422, "no_target", "admit", true,
+                "task %u needs %u cores, %u MB, %u accelerators; the largest "
+                "worker has %u, %u, %u",
+                i, need.cores, need.memory_mb, need.accelerators,
+                largest.cores, largest.memory_mb, largest.accelerators);
+  else
+    req_refuse (why, 503, "not_ready", "admit", true,
+                "not all workers are known yet");
+  return false;
+}
+
 /* Any minion can run a task without declared resources; others need a worker
    that is large enough.  */
 static bool
@@ -163,7 +204,7 @@
                   struct req_refusal *why)
 {
   for (uint32_t i = 0; i < r->count; i++)
-    if (ent_needs_worker (&r->tasks[i]) && !ent_worker_admit (e, r, i, why))
+    if (ent_needs_worker (&r->tasks[i]) && !any_worker_holds (e, r, i, why))
       return false;
   return true;
 }
--- a/src/entry_bind.c
+++ b/src/entry_bind.c
@@ -96,7 +96,7 @@
     }
   r = ent_record_drop (rec);
   r->known_not_run = false;
-  ent_submit_as (e, r, &other);
+  e->events->submit_as (e, r, &other);
 }
 
 static void
--- a/src/entry_link.c
+++ b/src/entry_link.c
@@ -41,6 +41,25 @@
   onc_call (link->conn, LVP_RETURN, (xdrproc_t)xdr_u_int, &back, NULL, NULL);
 }
 
+/* The first report of a worker's capacity adds it to the fleet.  */
+static void
+update_capacity (struct ent_link *link, const struct capa_size *total)
+{
+  if (capa_is_zero (total))
+    return;
+  if (capa_is_zero (&link->worker_capacity))
+    link->entry->worker_fleet.targets++;
+  link->worker_capacity = *total;
+}
+
+static void
+update_worker (struct ent_link *link, const lvp_room *room)
+{
+  link->worker_total = wir_to_size (&room->total);
+  link->worker_free = wir_to_size (&room->free);
+  update_capacity (link, &link->worker_total);
+}
+
 static void
 on_call (struct onc_conn *conn, uint32_t xid, uint32_t proc, XDR *args,
          void *priv)
@@ -52,7 +71,7 @@
   (void)xid;
   if (proc == LVP_ROOM && xdr_lvp_room (args, &room))
     {
-      ent_worker_update (link, &room);
+      update_worker (link, &room);
       ent_schedule_dispatch (link->entry);
       return;
     }
@@ -68,6 +87,13 @@
   ent_schedule_dispatch (link->entry);
 }
 
+static void
+clear_worker (struct ent_link *link)
+{
+  memset (&link->worker_total, 0, sizeof link->worker_total);
+  memset (&link->worker_free, 0, sizeof link->worker_free);
+}
+
 static void
 on_closed (struct onc_conn *conn, const struct err_error *err, void *priv)
 {
@@ -81,7 +107,7 @@
   link->conn = NULL;
   link->established = false;
   link->credits = 0;
-  ent_worker_clear (link);
+  clear_worker (link);
   link->retry_ns = clk_now () + RETRY_NS;
   if (link->lost_ns == 0)
     link->lost_ns = clk_now ();
@@ -95,7 +121,7 @@
 
   DL_FOREACH_SAFE (link->unresolved, call, next)
   {
-    ent_call_give_up (call, why);
+    link->entry->events->give_up (call, why);
   }
 }
 
@@ -109,7 +135,7 @@
   {
     DL_DELETE (link->unresolved, call);
     call->lost_ns = 0;
-    ent_resolve (call);
+    link->entry->events->resolve (call);
   }
 }
 
@@ -137,7 +163,7 @@
     {
       link->established = true;
       link->was_established = true;
-      ent_worker_update (link, &hello.room);
+      update_worker (link, &hello.room);
       link->lost_ns = 0;
       link->slots = hello.slots;
       link->leaving = hello.leaving;
@@ -302,6 +328,15 @@
          || clk_since (now_ns, onc_last_sent (link->conn)) >= period_ns;
 }
 
+static void
+end_member (struct ent_entry *e, const struct ros_member *m)
+{
+  char *record = ros_end_record (e->ev, m->incarnation, "gone");
+
+  lgt_append (e->members_tail, record, NULL, NULL);
+  talloc_free (record);
+}
+
 /* Ends an unreachable agent's membership in the log, so that the homes of keys
    are reassigned and its name can be used again.  */
 static void
@@ -315,7 +350,7 @@
   link->lost_ns = now_ns;
   log_line (LOGL_WARN, "declare-gone", "agent=%s unreachable_ms=%" PRIu64,
             link->member->name, e->set.gone_ms);
-  ent_log_end_member (e, link->member);
+  end_member (e, link->member);
 }
 
 static void
@@ -328,7 +363,7 @@
   {
     if (clk_since (now_ns, call->lost_ns)
         >= link->entry->set.resolve_ms * CLK_MS)
-      ent_call_give_up (call, "resolve-timeout");
+      link->entry->events->give_up (call, "resolve-timeout");
   }
 }
 
@@ -395,3 +430,21 @@
       link->reported_entitled = entitled;
   }
 }
+
+static bool
+in_drained_domain (const struct ent_entry *e, const struct ent_link *link)
+{
+  return rul_find (e->view->rules, RUL_DRAIN, RUL_DOMAIN,
+                   lv_slice_of (link->member->domain))
+         != NULL;
+}
+
+bool
+ent_link_usable (const struct ent_link *link, const struct hlt_target *health,
+                 const struct ent_task *task, uint64_t now_ns)
+{
+  return ent_link_ready (link) && !link->leaving
+         && ros_active_at (link->member, task->record->sid.roster)
+         && hlt_usable (health, now_ns)
+         && !in_drained_domain (link->entry, link);
+}
--- a/src/entry_log.c
+++ b/src/entry_log.c
@@ -1,7 +1,6 @@
 #include <inttypes.h>
 #include <string.h>
 #include <talloc.h>
-#include <urcu-bp.h>
 #include <utlist.h>
 
 #include "clock.h"
@@ -16,17 +15,6 @@
 /* Interval of requests to peers while rules or members are unknown.  */
 #define SYNC_NS (200 * CLK_MS)
 
-unsigned
-ent_count_entries (const struct ent_entry *e)
-{
-  const struct ros_member *m;
-  unsigned n = 0;
-
-  LL_FOREACH (e->roster.members, m)
-  n += m->role == ROS_ENTRY && m->ended == 0;
-  return n > 0 ? n : 1;
-}
-
 static void
 on_announced (int err, void *priv)
 {
@@ -227,27 +215,22 @@
   if (e->rules_ready && e->rules.synced && e->rules.version > 0
       && lgt_reachable (e->rules_tail) && now_ns >= e->next_state_ns)
     append_rules_state (e, now_ns);
-  if ((!e->rules_ready || !e->rules.synced || !e->members_known)
-      && now_ns >= e->next_sync_ns)
-    {
-      e->next_sync_ns = now_ns + SYNC_NS;
-      ent_peer_sync (e);
-    }
 }
 
-void
-ent_log_leave (struct ent_entry *e)
+bool
+ent_log_must_sync (struct ent_entry *e, uint64_t now_ns)
 {
-  char *record = ros_end_record (e->ev, e->incarnation, "left");
-
-  lgt_append (e->members_tail, record, NULL, NULL);
-  talloc_free (record);
+  if ((e->rules_ready && e->rules.synced && e->members_known)
+      || now_ns < e->next_sync_ns)
+    return false;
+  e->next_sync_ns = now_ns + SYNC_NS;
+  return true;
 }
 
 void
-ent_log_end_member (struct ent_entry *e, const struct ros_member *m)
+ent_log_leave (struct ent_entry *e)
 {
-  char *record = ros_end_record (e->ev, m->incarnation, "gone");
+  char *record = ros_end_record (e->ev, e->incarnation, "left");
 
   lgt_append (e->members_tail, record, NULL, NULL);
   talloc_free (record);
--- a/src/entry_peer.c
+++ b/src/entry_peer.c
@@ -63,9 +63,9 @@
 
   talloc_free (f);
   if (r->op == REQ_SUBMIT && ballot > 0)
-    ent_adopt_preempt (e, r, &sid, ballot);
+    e->events->adopt_preempt (e, r, &sid, ballot);
   else if (r->op == REQ_SUBMIT)
-    ent_adopt (e, r, &sid);
+    e->events->adopt (e, r, &sid);
   else
     {
       req_refuse (&why, 503, "owner_gone", "forward", false,
--- a/src/entry_worker.c
+++ b/src/entry_worker.c
@@ -1,95 +1,13 @@
-#include <inttypes.h>
-#include <string.h>
-#include <talloc.h>
 #include <utlist.h>
 
 #include "clock.h"
 #include "entry.h"
-#include "logline.h"
-#include "wire.h"
-
-static struct capa_size
-need_of (const struct req_task *t)
-{
-  struct capa_size need = { t->cores, t->memory_mb, t->accelerators };
-
-  return need;
-}
-
-bool
-ent_needs_worker (const struct req_task *t)
-{
-  struct capa_size need = need_of (t);
-
-  return !capa_is_zero (&need);
-}
-
-struct que_queue *
-ent_queue_for (struct ent_entry *e, const struct req_task *t)
-{
-  return ent_needs_worker (t) ? &e->worker_queue : &e->queue;
-}
-
-/* The first report of a worker's capacity adds it to the fleet.  */
-static void
-update_capacity (struct ent_link *link, const struct capa_size *total)
-{
-  if (capa_is_zero (total))
-    return;
-  if (capa_is_zero (&link->worker_capacity))
-    link->entry->worker_fleet.targets++;
-  link->worker_capacity = *total;
-}
-
-void
-ent_worker_update (struct ent_link *link, const lvp_room *room)
-{
-  link->worker_total = wir_to_size (&room->total);
-  link->worker_free = wir_to_size (&room->free);
-  update_capacity (link, &link->worker_total);
-}
-
-void
-ent_worker_clear (struct ent_link *link)
-{
-  memset (&link->worker_total, 0, sizeof link->worker_total);
-  memset (&link->worker_free, 0, sizeof link->worker_free);
-}
-
-bool
-ent_worker_admit (const struct ent_entry *e, const struct req_request *r,
-                  uint32_t i, struct req_refusal *why)
-{
-  struct capa_size need = need_of (&r->tasks[i]);
-  struct capa_size largest = { 0, 0, 0 };
-  const struct ent_link *link;
-  bool all_known = true;
-
-  DL_FOREACH (e->links, link)
-  {
-    if (capa_fits (&link->worker_capacity, &need))
-      return true;
-    all_known = all_known && link->was_established;
-    if (link->worker_capacity.cores > largest.cores)
-      largest = link->worker_capacity;
-  }
-  if (all_known && e->link_count > 0)
-    req_refuse (why, 422, "no_target", "admit", true,
-                "task %u needs %u cores, %u MB, %u accelerators; the largest "
-                "worker has %u, %u, %u",
-                i, need.cores, need.memory_mb, need.accelerators,
-                largest.cores, largest.memory_mb, largest.accelerators);
-  else
-    req_refuse (why, 503, "not_ready", "admit", true,
-                "not all workers are known yet");
-  return false;
-}
 
 static struct ent_link *
 choose_worker (struct ent_entry *e, const struct ent_task *task,
                uint64_t now_ns)
 {
-  struct capa_size need = need_of (task->spec);
+  struct capa_size need = ent_need_of (task->spec);
   struct ent_link *best = NULL;
   struct ent_link *link;
 
@@ -111,7 +29,7 @@
 static bool
 any_worker_fits (const struct ent_entry *e, const struct ent_task *task)
 {
-  struct capa_size need = need_of (task->spec);
+  struct capa_size need = ent_need_of (task->spec);
   const struct ent_link *link;
 
   DL_FOREACH (e->links, link)
@@ -136,14 +54,6 @@
   return true;
 }
 
-void
-ent_unqueue (struct ent_entry *e, struct ent_task *task)
-{
-  if (e->worker_head == &task->item)
-    e->worker_head = NULL;
-  que_remove (ent_queue_for (e, task->spec), &task->item);
-}
-
 /* The head of the queue stays the head until it fits, so that smaller tasks
    cannot starve it.  */
 static struct que_item *
@@ -173,7 +83,7 @@
             return;
           continue;
         }
-      need = need_of (task->spec);
+      need = ent_need_of (task->spec);
       e->worker_head = NULL;
       que_take (&e->worker_queue, item, now_ns);
       ent_send_start (link, task, now_ns);
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -34,7 +34,7 @@
      "  return b->home_since_ms <= earliest_ms ? 0 : -EAGAIN;",
      "  return 0;",
      "HomeLost.test_cold_start"),
-    ("failed-resolve-means-not-started", "src/entry_dispatch.c",
+    ("failed-resolve-means-not-started", "src/entry_calls.c",
      "  if (err != 0 || !WIR_DECODE (lvp_outcome, res, &out))\n    {\n"
      "      mark_disconnected (call);\n      return;\n    }",
      "  if (err != 0 || !WIR_DECODE (lvp_outcome, res, &out))\n    {\n"
@@ -46,7 +46,7 @@
     ("minion-connection-reused", "src/agent_target.c",
      'hcl_send (a->client, "ONCE"', 'hcl_send (a->client, "POST"',
      "LostMessages.test_minion_connection_reset"),
-    ("adoption-by-others-ignored", "src/entry_intake.c",
+    ("adoption-by-others-ignored", "src/entry_open.c",
      "  return sid->minted_ms <= e->maybe_adopted_ms;", "  return false;",
      "OwnerLost.test_refusals"),
     ("silent-session-not-dropped", "src/entry_link.c",
