Entry: what its files share stands in entry_parts.h

Until now each of the parts took its types from the header of the topmost one, which tied them into a circle.

--- a/src/entry_admit.c
+++ b/src/entry_admit.c
@@ -5,7 +5,7 @@
 #include <utlist.h>
 
 #include "clock.h"
-#include "entry.h"
+#include "entry_parts.h"
 #include "jsonx.h"
 #include "xtalloc.h"
 
--- a/src/entry_adopt.c
+++ b/src/entry_adopt.c
@@ -7,7 +7,7 @@
 
 #include "clock.h"
 #include "entropy.h"
-#include "entry.h"
+#include "entry_parts.h"
 #include "logline.h"
 #include "wire.h"
 #include "xtalloc.h"
--- a/src/entry_bind.c
+++ b/src/entry_bind.c
@@ -3,7 +3,7 @@
 #include <talloc.h>
 
 #include "clock.h"
-#include "entry.h"
+#include "entry_parts.h"
 #include "logline.h"
 #include "wire.h"
 #include "xtalloc.h"
--- a/src/entry_calls.c
+++ b/src/entry_calls.c
@@ -4,7 +4,7 @@
 #include <utlist.h>
 
 #include "clock.h"
-#include "entry.h"
+#include "entry_parts.h"
 #include "logline.h"
 #include "wire.h"
 #include "xtalloc.h"
--- a/src/entry_dispatch.c
+++ b/src/entry_dispatch.c
@@ -2,7 +2,7 @@
 #include <utlist.h>
 
 #include "clock.h"
-#include "entry.h"
+#include "entry_parts.h"
 #include "xtalloc.h"
 
 /* At most one credit is reserved per this many slots of this entry's share. */
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -9,7 +9,7 @@
 #include <unistd.h>
 #include <urcu-bp.h>
 
-#include "entry.h"
+#include "entry_parts.h"
 #include "net.h"
 #include "xtalloc.h"
 
--- a/src/entry_inbound.c
+++ b/src/entry_inbound.c
@@ -2,7 +2,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "entry.h"
+#include "entry_parts.h"
 #include "net.h"
 #include "wire.h"
 #include "xtalloc.h"
--- a/src/entry_open.c
+++ b/src/entry_open.c
@@ -1,4 +1,4 @@
-#include "entry.h"
+#include "entry_parts.h"
 #include "logline.h"
 
 void
--- a/src/entry_queue.c
+++ b/src/entry_queue.c
@@ -1,5 +1,5 @@
 #include "clock.h"
-#include "entry.h"
+#include "entry_parts.h"
 
 struct capa_size
 ent_need_of (const struct req_task *t)
--- a/src/entry_record.c
+++ b/src/entry_record.c
@@ -6,7 +6,7 @@
 #include <utlist.h>
 
 #include "clock.h"
-#include "entry.h"
+#include "entry_parts.h"
 #include "jsonx.h"
 #include "logline.h"
 #include "xtalloc.h"
--- a/src/entry_view.c
+++ b/src/entry_view.c
@@ -1,7 +1,7 @@
 #include <talloc.h>
 #include <urcu-bp.h>
 
-#include "entry.h"
+#include "entry_parts.h"
 #include "xtalloc.h"
 
 static struct rul_set *
--- a/src/entry_worker.c
+++ b/src/entry_worker.c
@@ -1,7 +1,7 @@
 #include <utlist.h>
 
 #include "clock.h"
-#include "entry.h"
+#include "entry_parts.h"
 
 static struct ent_link *
 choose_worker (struct ent_entry *e, const struct ent_task *task,
