--- a/cli/cli.h
+++ b/cli/cli.h
@@ -41,6 +41,11 @@
                     const char *path, const char *file, long timeout_ms,
                     struct cli_reply *reply);
 
+/** cli_read_log() - pass each line of the file @path, "-" for standard input,
+ * to @add; prints an error if it cannot be opened. Return: whether it was. */
+bool cli_read_log (const char *path,
+                   void (*add) (void *priv, struct lv_slice line), void *priv);
+
 /** cli_parse() - parse the arguments by @table and handle --help. Return: -1
  * to continue, or the exit code. */
 int cli_parse (int argc, char **argv, void **table, int count,
@@ -58,6 +63,7 @@
 int cli_settings (struct cli_context *cli, int argc, char **argv);
 int cli_submit (struct cli_context *cli, int argc, char **argv);
 int cli_explain (struct cli_context *cli, int argc, char **argv);
+int cli_report (struct cli_context *cli, int argc, char **argv);
 int cli_cancel (struct cli_context *cli, int argc, char **argv);
 
 #endif
--- a/cli/cli_explain.c
+++ b/cli/cli_explain.c
@@ -1,8 +1,5 @@
 #include <argtable2.h>
 #include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
-#include <talloc.h>
 
 #include "cli.h"
 #include "daemon.h"
@@ -10,30 +7,10 @@
 
 #define LOGS_MAX 4096
 
-/* Add the lines of one log.  Return: whether it could be opened.  */
-static bool
-read_log (struct tml_timeline *timeline, const char *path)
+static void
+add_line (void *priv, struct lv_slice line)
 {
-  FILE *file = strcmp (path, "-") == 0 ? stdin : fopen (path, "re");
-  char *line = NULL;
-  size_t size = 0;
-  ssize_t len;
-
-  if (file == NULL)
-    {
-      fprintf (stderr, "error: %s: cannot open\n", path);
-      return false;
-    }
-  while ((len = getline (&line, &size, file)) > 0)
-    {
-      struct lv_slice text = { line, (size_t)len - (line[len - 1] == '\n') };
-
-      tml_add_line (timeline, text);
-    }
-  free (line);
-  if (file != stdin)
-    fclose (file);
-  return true;
+  tml_add_line (priv, line);
 }
 
 int
@@ -54,7 +31,7 @@
   tml_init (&timeline, cli->ev, lv_slice_of (id->sval[0]));
   rc = DMN_OK;
   for (int i = 0; i < logs->count; i++)
-    if (!read_log (&timeline, logs->filename[i]))
+    if (!cli_read_log (logs->filename[i], add_line, &timeline))
       rc = DMN_USAGE;
   if (rc == DMN_OK && timeline.matches == 0)
     {
--- a/cli/main.c
+++ b/cli/main.c
@@ -6,6 +6,7 @@
 #include <argtable2.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -83,6 +84,32 @@
   return true;
 }
 
+bool
+cli_read_log (const char *path, void (*add) (void *priv, struct lv_slice line),
+              void *priv)
+{
+  FILE *file = strcmp (path, "-") == 0 ? stdin : fopen (path, "re");
+  char *line = NULL;
+  size_t size = 0;
+  ssize_t len;
+
+  if (file == NULL)
+    {
+      fprintf (stderr, "error: %s: cannot open\n", path);
+      return false;
+    }
+  while ((len = getline (&line, &size, file)) > 0)
+    {
+      struct lv_slice text = { line, (size_t)len - (line[len - 1] == '\n') };
+
+      add (priv, text);
+    }
+  free (line);
+  if (file != stdin)
+    fclose (file);
+  return true;
+}
+
 int
 cli_parse (int argc, char **argv, void **table, int count, const char *command)
 {
@@ -147,6 +174,7 @@
   { "settings", cli_settings, "check a settings file" },
   { "submit", cli_submit, "submit a job and print its answer" },
   { "explain", cli_explain, "show the timeline of a request from the logs" },
+  { "report", cli_report, "plot the logs of dispatchers as an SVG image" },
   { "cancel", cli_cancel, "cancel a submission" },
 };
 
--- a/include/lagoonvale/lagoonvale.h
+++ b/include/lagoonvale/lagoonvale.h
@@ -21,7 +21,7 @@
  *            fencetoken
  * Discovery: directory, subset
  * Names:     name, nametable
- * Logs:      timeline
+ * Logs:      logfield, timeline, dayplot
  */
 #ifndef LV_LAGOONVALE_H
 #define LV_LAGOONVALE_H
@@ -37,6 +37,7 @@
 #include "lagoonvale/confsync.h"
 #include "lagoonvale/counter.h"
 #include "lagoonvale/crashlog.h"
+#include "lagoonvale/dayplot.h"
 #include "lagoonvale/directory.h"
 #include "lagoonvale/estimate.h"
 #include "lagoonvale/fencetoken.h"
@@ -48,6 +49,7 @@
 #include "lagoonvale/lease.h"
 #include "lagoonvale/leasebounds.h"
 #include "lagoonvale/ledger.h"
+#include "lagoonvale/logfield.h"
 #include "lagoonvale/minion.h"
 #include "lagoonvale/minionhealth.h"
 #include "lagoonvale/name.h"
--- a/src/timeline.c
+++ b/src/timeline.c
@@ -7,21 +7,21 @@
 #include <talloc.h>
 #include <utlist.h>
 
+#include "lagoonvale/logfield.h"
 #include "xtalloc.h"
 
 /* Time before and after the request from which state events are shown, s.  */
 #define CONTEXT_S 1.0
 /* Clock differences up to this are not corrected, s.  */
 #define CLOCK_SLACK_S 0.02
-#define NAME_MAX_BYTES 64
 #define MS_PER_S 1000.0
 
 /* One line that may belong to the timeline.  */
 struct tml_line
 {
   double at_s;
-  char name[NAME_MAX_BYTES];
-  char event[NAME_MAX_BYTES];
+  char name[LGF_TEXT_MAX];
+  char event[LGF_TEXT_MAX];
   char *text;     /* from "event=" on */
   bool named;     /* names the request */
   bool entry;     /* written by an entry */
@@ -59,26 +59,6 @@
   t->lines = NULL;
 }
 
-/* Copy the value of KEY in TEXT to OUT, truncated to SIZE; empty if absent. */
-static void
-copy_value (const char *text, const char *key, char *out, size_t size)
-{
-  size_t len = strlen (key);
-  const char *at = text;
-
-  out[0] = '\0';
-  while ((at = strstr (at, key)) != NULL)
-    {
-      if ((at == text || at[-1] == ' ') && at[len] == '=')
-        {
-          snprintf (out, size, "%.*s", (int)strcspn (at + len + 1, " "),
-                    at + len + 1);
-          return;
-        }
-      at += len;
-    }
-}
-
 static bool
 is_name_char (char c)
 {
@@ -98,15 +78,6 @@
   return false;
 }
 
-static double
-parse_number (const char *text, const char *key)
-{
-  char value[NAME_MAX_BYTES];
-
-  copy_value (text, key, value, sizeof value);
-  return strtod (value, NULL);
-}
-
 static bool
 is_state_event (const char *event)
 {
@@ -122,8 +93,8 @@
 tml_add_line (struct tml_timeline *t, struct lv_slice line)
 {
   char text[TML_LINE_MAX];
-  char role[NAME_MAX_BYTES];
-  char id[NAME_MAX_BYTES];
+  char role[LGF_TEXT_MAX];
+  char id[LGF_TEXT_MAX];
   struct tml_line *l;
   const char *start;
   const char *event;
@@ -135,9 +106,9 @@
   if (event == NULL)
     return;
   l = talloc_zero (t->mem_ctx, struct tml_line);
-  copy_value (start, "name", l->name, sizeof l->name);
-  copy_value (start, "event", l->event, sizeof l->event);
-  copy_value (start, "role", role, sizeof role);
+  lgf_text (start, "name", l->name, sizeof l->name);
+  lgf_text (start, "event", l->event, sizeof l->event);
+  lgf_text (start, "role", role, sizeof role);
   l->named = names (event, id);
   if (!l->named && !is_state_event (l->event))
     {
@@ -146,8 +117,8 @@
     }
   t->matches += l->named;
   l->entry = strcmp (role, "entry") == 0;
-  l->at_s = parse_number (start, "time");
-  l->ran_s = parse_number (start, "ran_ms") / MS_PER_S;
+  l->at_s = lgf_number (start, "time");
+  l->ran_s = lgf_number (start, "ran_ms") / MS_PER_S;
   l->text = xtalloc_strdup (l, event);
   DL_APPEND (t->lines, l);
 }
@@ -236,20 +207,20 @@
 static bool
 is_involved (const struct tml_timeline *t, const struct tml_line *l)
 {
-  char agent[NAME_MAX_BYTES];
+  char agent[LGF_TEXT_MAX];
   const struct tml_line *n;
   bool own = false;
 
-  copy_value (l->text, "agent", agent, sizeof agent);
+  lgf_text (l->text, "agent", agent, sizeof agent);
   DL_FOREACH (t->lines, n)
   {
-    char other[NAME_MAX_BYTES];
+    char other[LGF_TEXT_MAX];
 
     if (!n->named)
       continue;
     if (strcmp (n->name, l->name) == 0)
       own = true;
-    copy_value (n->text, "agent", other, sizeof other);
+    lgf_text (n->text, "agent", other, sizeof other);
     if (agent[0] != '\0'
         && (strcmp (other, agent) == 0 || strcmp (n->name, agent) == 0))
       return true;
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -9,6 +9,7 @@
 import threading
 import time
 import unittest
+from xml.etree import ElementTree
 
 from cluster import BUILD, http, wait_until
 from platform_cluster import (HOST, RESEND_S, Callers, PlatformCluster, job,
@@ -353,6 +354,25 @@
 
     # Guards against an operator who cannot see that an entry has not followed a
     # change of the configuration.
+    def test_the_report_plots_the_logs_of_dispatchers(self):
+        c = self.ready()
+        callers = Callers(c, workers=4, run_ms=20)
+        time.sleep(2.5)
+        callers.stop()
+        program = os.path.join(BUILD, "lagoonvale")
+        done = subprocess.run([program, "report"] + [e.log for e in c.entries],
+                              capture_output=True, text=True, timeout=10)
+        self.assertEqual((done.returncode, done.stderr), (0, ""))
+        image = ElementTree.fromstring(done.stdout)
+        served = image.find("{http://www.w3.org/2000/svg}polyline").get("points")
+        self.assertGreater(len({p.split(",")[1] for p in served.split()}), 1)
+        for argv in ([c.agents[0].log], ["/nowhere"], []):
+            done = subprocess.run([program, "report"] + argv, timeout=10,
+                                  capture_output=True, text=True)
+            self.assertNotEqual(done.returncode, 0)
+            self.assertEqual(done.stdout, "")
+            self.assertTrue(done.stderr)
+
     def test_the_status_names_entries_that_are_behind(self):
         c = self.ready(entries=2, agents=1)
         pages = ["http://" + a["metrics"] for a in c.addresses]
