Completion for bash, from the same source as the man pages

The commands are read from the program: the list in the script had missed one. Tests: Installation.test_bash_completes_commands_options_and_files runs it in bash; test_man_pages_follow_the_help compares it with what the programs print.

--- a/Makefile
+++ b/Makefile
@@ -169,7 +169,7 @@
 	@$(MAKE) -s all
 	@python3 tools/bench.py
 
-# The man pages follow what the programs print for --help.
+# The man pages and the completion follow what the programs print for --help.
 man: all
 	LV_BUILD=$(CURDIR)/$(B) python3 tools/manpages.py man
 
@@ -177,9 +177,12 @@
 install: all
 	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib/pkgconfig \
 	  $(DESTDIR)$(PREFIX)/include/lagoonvale
-	install -d $(DESTDIR)$(PREFIX)/share/man/man1
+	install -d $(DESTDIR)$(PREFIX)/share/man/man1 \
+	  $(DESTDIR)$(PREFIX)/share/bash-completion/completions
 	install $(PROGRAMS) $(DESTDIR)$(PREFIX)/bin
 	install -m 644 man/*.1 $(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 644 man/lagoonvale.bash \
+	  $(DESTDIR)$(PREFIX)/share/bash-completion/completions/lagoonvale
 	install -m 644 $(B)/liblagoonvale.a $(DESTDIR)$(PREFIX)/lib
 	install -m 644 include/lagoonvale/*.h \
 	  $(DESTDIR)$(PREFIX)/include/lagoonvale
--- a/tests/process/test_install.py
+++ b/tests/process/test_install.py
@@ -24,6 +24,20 @@
             done = run("diff", "-r", os.path.join(ROOT, "man"), new)
             self.assertEqual(done.stdout, "", "make man")
 
+    # Guards against a completion that bash cannot read, or that offers other
+    # commands and options than the program takes.
+    def test_bash_completes_commands_options_and_files(self):
+        cases = [(["rep"], ["report"]), (["rules", "sh"], ["show"]),
+                 (["submit", "--ent"], ["--entry"]),
+                 (["explain", "READ"], ["README.md"]), (["nothing", "--"], [])]
+        for words, expected in cases:
+            with self.subTest(words=words):
+                script = ("source man/lagoonvale.bash; COMP_WORDS=(lagoonvale %s); "
+                          "COMP_CWORD=%d; _lagoonvale; echo ${COMPREPLY[@]}" % (
+                              " ".join(words), len(words)))
+                done = run("bash", "-euc", script, cwd=ROOT)
+                self.assertEqual(done.stdout.split(), expected, done.stderr)
+
     # Guards against an installed library that cannot be built against: missing
     # headers, or a .pc file that names too little.
     def test_an_example_builds_against_the_installed_library(self):
--- a/tools/manpages.py
+++ b/tools/manpages.py
@@ -1,5 +1,6 @@
 #!/usr/bin/env python3
-"""Writes the man pages from what the programs print for --help.
+"""Writes the man pages and the completion for bash from what the programs
+print for --help.
 
 manpages.py DIRECTORY   one page for each program; also for each command of
                         lagoonvale
@@ -22,7 +23,6 @@
     "lagoonvale-runner": "runs tasks at a minion of the platform",
     "lagoonvale-load": "open-loop load generator",
 }
-COMMANDS = ("rules", "status", "settings", "submit", "explain", "cancel")
 # An option, argument, setting or command and its description; a name as wide as
 # its column is followed by one space.
 ROW = re.compile(r"^  (\S+(?: \S+)*?|\S{24,})(?:  +|(?<=\S{24}) )(\S.*)$")
@@ -34,6 +34,11 @@
                           check=True).stdout
 
 
+def commands():
+    rows = map(ROW.match, help_of("lagoonvale").splitlines())
+    return [row.group(1) for row in rows if row]
+
+
 def escape(text):
     return text.replace("\\", "\\e").replace("-", "\\-")
 
@@ -61,18 +66,52 @@
     text += section("OPTIONS", lines[:settings])
     if rows:
         text += section("SETTINGS", lines[settings:])
-    for command in COMMANDS if program == "lagoonvale" else ():
+    for command in commands() if program == "lagoonvale" else ():
         usage, *lines = help_of(program, command).splitlines()
         text += section(command.upper(), [usage] + lines)
     return text
 
 
+def completion():
+    """A script for bash: the commands, then their options and files."""
+    cases = ""
+    for command in commands():
+        text = help_of("lagoonvale", command)
+        words = re.findall(r"(?<![\w-])--[a-z-]+", text)
+        verbs = re.search(r"Usage: lagoonvale \w+ (\w+(?:\|\w+)+)", text)
+        words += verbs.group(1).split("|") if verbs else []
+        cases += "    %s) words=\"%s\" ;;\n" % (
+            command, " ".join(sorted(set(words))))
+    return COMPLETION % (" ".join(commands()), cases)
+
+
+COMPLETION = """\
+# Completion of lagoonvale for bash, written by make man.
+_lagoonvale ()
+{
+  local words="%s --help --version"
+  local last="${COMP_WORDS[COMP_CWORD]}"
+  COMPREPLY=()
+  if [ "$COMP_CWORD" -gt 1 ]; then
+    words=""
+    case "${COMP_WORDS[1]}" in
+%s    esac
+    mapfile -t COMPREPLY < <(compgen -f -- "$last")
+  fi
+  mapfile -t -O "${#COMPREPLY[@]}" COMPREPLY < <(compgen -W "$words" -- "$last")
+}
+complete -o filenames -F _lagoonvale lagoonvale
+"""
+
+
 def main():
     directory = sys.argv[1]
     os.makedirs(directory, exist_ok=True)
     for program in PROGRAMS:
         with open(os.path.join(directory, program + ".1"), "w") as f:
             f.write(page(program))
+    with open(os.path.join(directory, "lagoonvale.bash"), "w") as f:
+        f.write(completion())
 
 
 if __name__ == "__main__":
