--- a/src/runner_minion.c
+++ b/src/runner_minion.c
@@ -248,7 +248,6 @@
 rnr_poll_minion (struct rnr_runner *r)
 {
   struct mnn_lease lease;
-
   struct rnr_minion *m = &r->minion;
   uint64_t now = clk_boot ();
 
