Limits of the fleet: the parts of the entries add up to them

Each entry rounded its part of a limit up: 60 entries let 120 tasks run where 100 are allowed. The remainder goes to entries that differ by team or kind (qta_part, pure), by their position in the order of incarnations, which all entries share: no message. Ways weighed: rendezvous hashing of all names for each subject (members times subjects, in the path of each start); exact parts also below one an entry (callers there would wait for good; requests would have to be passed on). Below the number of entries each has one, as before.

--- a/include/lagoonvale/lagoonvale.h
+++ b/include/lagoonvale/lagoonvale.h
@@ -9,7 +9,7 @@
  *
  * Identity:  sid (submission ids), roster (membership, home agents of keys)
  * Starting:  ledger, submission, adopt, keybind
- * Decisions: queue, usage, estimate, grant, placement, health
+ * Decisions: queue, usage, quota, estimate, grant, placement, health
  * Workers:   lease, capacity, turn
  * Clients:   budget
  * Rules:     rules, ruleversion
@@ -58,6 +58,7 @@
 #include "lagoonvale/pacer.h"
 #include "lagoonvale/placement.h"
 #include "lagoonvale/queue.h"
+#include "lagoonvale/quota.h"
 #include "lagoonvale/renewal.h"
 #include "lagoonvale/retryafter.h"
 #include "lagoonvale/roster.h"
--- a/src/entry.c
+++ b/src/entry.c
@@ -153,8 +153,8 @@
       slots += link->slots;
     cores += link->worker_total.cores;
   }
-  e->queue.slots = slots > 0 ? slots / ent_count_entries (e) : 1;
-  e->worker_queue.slots = cores > 0 ? cores / ent_count_entries (e) : 1;
+  e->queue.slots = slots > 0 ? slots / e->entry_count : 1;
+  e->worker_queue.slots = cores > 0 ? cores / e->entry_count : 1;
 }
 
 static void
@@ -231,6 +231,7 @@
   ent_record_expire (e, now);
   ros_expire (&e->roster, clk_wall_ms () - 4 * e->set.window_s * 1000);
   forget_idle_flows (e, now);
+  ent_update_position (e);
   update_slots (e);
   update_gauges (e);
   ent_schedule_dispatch (e);
--- a/src/entry.h
+++ b/src/entry.h
@@ -23,7 +23,8 @@
  *   entry_queue.c    the queues of tasks
  *   entry_log.c      the membership and rules streams
  *   entry_link.c     connections to agents, credits, reconciliation
- *   entry_view.c     rules and readiness as HTTP threads see them
+ *   entry_view.c     rules and readiness as HTTP threads see them, and what
+ *                    part of the fleet this entry is
  *
  * Each part calls those below it in this list, and tells those above it
  * through struct ent_events.
--- a/src/entry_admit.c
+++ b/src/entry_admit.c
@@ -7,6 +7,7 @@
 #include "clock.h"
 #include "entry_parts.h"
 #include "jsonx.h"
+#include "lagoonvale/quota.h"
 #include "xtalloc.h"
 
 #define RETRY_AFTER_MIN_MS 100
@@ -60,32 +61,19 @@
   add_usage (e, 'k', kind, n);
 }
 
-unsigned
-ent_count_entries (const struct ent_entry *e)
-{
-  const struct ros_member *m;
-  unsigned n = 0;
-
-  LL_FOREACH (e->roster.members, m)
-  n += m->role == ROS_ENTRY && m->ended == 0;
-  return n > 0 ? n : 1;
-}
-
 static bool
 subject_at_limit (struct ent_entry *e, char type, enum rul_subject subject,
                   struct lv_slice name)
 {
   uint32_t limit
       = rul_value (e->view->rules, RUL_LIMIT, subject, name, UINT32_MAX);
-  unsigned entries = ent_count_entries (e);
   const struct ent_usage *u;
 
   if (limit == UINT32_MAX)
     return false;
   u = find_usage (e, type, name, false);
-  /* Each entry gets an equal part of the fleet-wide limit.  */
   return (u != NULL ? (uint32_t)u->running : 0)
-         >= (limit + entries - 1) / entries;
+         >= qta_part (limit, e->entry_count, e->entry_position, name);
 }
 
 bool
--- a/src/entry_parts.h
+++ b/src/entry_parts.h
@@ -298,9 +298,11 @@
   struct lgt_tail *rules_tail;
   struct hcl_client *client;
   bool members_known;
-  bool rules_ready; /* the version in force has been known once */
-  bool announced;   /* a join record of this process was appended */
-  uint64_t joined;  /* log offset of that record, 0 if unknown */
+  uint32_t entry_count;    /* entries in the membership, at least 1 */
+  uint32_t entry_position; /* of this one among them, below @entry_count */
+  bool rules_ready;        /* the version in force has been known once */
+  bool announced;          /* a join record of this process was appended */
+  uint64_t joined;         /* log offset of that record, 0 if unknown */
   /* Wall time; ids minted up to then may have been adopted by others.  */
   uint64_t maybe_adopted_ms;
   uint64_t last_tick_ns;
@@ -340,6 +342,9 @@
 
 /* entry_view.c */
 
+/** ent_update_position() - count the entries, and those before this one in the
+ * order of their incarnations, which all entries share. */
+void ent_update_position (struct ent_entry *e);
 /** ent_publish_view() - publish rules and readiness to the HTTP threads. */
 void ent_publish_view (struct ent_entry *e);
 
@@ -404,8 +409,6 @@
 
 /* entry_admit.c */
 
-/** ent_count_entries() - number of entries in the membership, at least 1. */
-unsigned ent_count_entries (const struct ent_entry *e);
 /** ent_admit() - admission control. Return: whether @r may be queued. */
 bool ent_admit (struct ent_entry *e, const struct req_request *r,
                 struct req_refusal *why);
--- a/src/entry_view.c
+++ b/src/entry_view.c
@@ -1,5 +1,6 @@
 #include <talloc.h>
 #include <urcu-bp.h>
+#include <utlist.h>
 
 #include "entry_parts.h"
 #include "xtalloc.h"
@@ -28,12 +29,31 @@
   talloc_free (old);
 }
 
+void
+ent_update_position (struct ent_entry *e)
+{
+  const struct ros_member *m;
+  uint32_t count = 0;
+  uint32_t before = 0;
+
+  LL_FOREACH (e->roster.members, m)
+  {
+    if (m->role != ROS_ENTRY || m->ended != 0)
+      continue;
+    count++;
+    before += m->incarnation < e->incarnation;
+  }
+  e->entry_count = count > 0 ? count : 1;
+  e->entry_position = before < e->entry_count ? before : 0;
+}
+
 void
 ent_publish_view (struct ent_entry *e)
 {
   struct ent_view *old = e->view;
   struct ent_view *view = xtalloc_zero (NULL, struct ent_view);
 
+  ent_update_position (e);
   view->rules = parse_rules (e, view);
   view->ready = e->rules_ready && e->members_known;
   view->leaving = e->leaving;
