Tests: a start wrongly placed again goes to the other agent

In a run of all mutants one survived: a call whose connection broke is taken as not started, and LostMessages.test_connections_reset passed. In the new test the first agent stays out of reach until the other one has free slots. The old test stays as it is.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -42,7 +42,7 @@
      "      out.status = LVP_NOT_STARTED;\n"
      "      apply_outcome (call, &out);\n      end_call (call);\n"
      "      return;\n    }",
-     "LostMessages.test_connections_reset"),
+     "LostMessages.test_connections_reset_and_not_back"),
     ("minion-connection-reused", "src/agent_target.c",
      'hcl_send (a->client, "ONCE"', 'hcl_send (a->client, "POST"',
      "LostMessages.test_minion_connection_reset"),
--- a/tests/process/test_start_once.py
+++ b/tests/process/test_start_once.py
@@ -331,6 +331,17 @@
                 self.run_with_fault(c, lambda: c.set_fault("a0", reset=True), None,
                                     ["complete"], entry)
 
+    # Guards against a task that is started at another agent because the
+    # connection to the first one broke: here that one stays out of reach until
+    # the other has free slots, so a task wrongly placed again goes there.
+    def test_connections_reset_and_not_back_for_a_while(self):
+        with cluster(proxy=True, agents=2) as c:
+            def reset():
+                c.set_fault("a0", reset=True)
+                c.set_fault("a0", drop="in")
+            self.run_with_fault(c, reset, lambda: c.set_fault("a0", drop=""),
+                                ["complete"])
+
     def test_start_delayed_past_the_resubmission(self):
         with cluster(proxy=True, agents=2) as c:
             sid = c.mint(0)[0]
