--- a/src/entry.h
+++ b/src/entry.h
@@ -20,9 +20,9 @@
  *   entry_open.c     open a record, or refuse a request
  *   entry_record.c   submissions on record and their answers
  *   entry_admit.c    admission control
- *   entry_queue.c    the queues of tasks
  *   entry_log.c      the membership and rules streams
  *   entry_link.c     connections to agents, credits, reconciliation
+ *   entry_queue.c    the queues of tasks
  *   entry_view.c     rules and readiness as HTTP threads see them, and what
  *                    part of the fleet this entry is
  *
