--- a/tests/process/test_runner.py
+++ b/tests/process/test_runner.py
@@ -162,7 +162,9 @@
             c.set_mode(c.minions[0], mcores=mcores)
             self.assertTrue(wait_until(
                 lambda: c.metric(c.agents[0], free) == mcores, 2))
-            time.sleep(0.2)
+            # The entry hears of a larger capacity by the agent's next report.
+            if status == 200:
+                wait_until(lambda: c.submit(0, job(run_ms=5))[0] == 200, 2)
             self.assertEqual(c.submit(0, job(run_ms=20), wait_ms=1000)[0],
                              status)
         self.assertEqual(c.rule_violations(), [])
