Directory: an entry reads the list until it is on it

Cause: an entry read the list once, added itself if it was missing there, and read again 30 s later. Two entries that read before either was listed did not know each other for 30 s; an agent that read between the two adds joined one of them and never learned of the other, since it reads only while no entry answers it. A fault of the program, not of the test: with seeds that are gone, half of a new fleet could stay apart for 30 s.

Mend: an entry whose address the list lacks adds it and reads again, with backoff. Appends and reads of the store are linearizable, so of two entries the one that is listed last finds the other. Its backoff is no longer reset at each tick: while the store failed, each entry read it four times a second. Only regular reads, 30 s apart, count towards the removal of an address that does not answer.

--- a/include/lagoonvale/directory.h
+++ b/include/lagoonvale/directory.h
@@ -2,10 +2,10 @@
  * DOC: directory
  *
  * Service discovery: a list of entry addresses in a shared store, for
- * instances whose seeds do not answer.  An entry adds its own address, and
- * removes addresses that have not answered for minutes.  An agent reads the
- * list when it starts and while no entry answers it.  Pure: the owner does the
- * I/O.
+ * instances whose seeds do not answer.  An entry adds its own address, reads
+ * until it finds it listed, and removes addresses that have not answered for
+ * minutes.  An agent reads the list when it starts and while no entry answers
+ * it.  Pure: the owner does the I/O.
  */
 #ifndef LV_DIRECTORY_H
 #define LV_DIRECTORY_H
@@ -21,8 +21,8 @@
 #define DIR_ADDRESS_MAX 64
 /** Time between two reads by an entry, ns. */
 #define DIR_REFRESH_NS 30000000000ULL
-/** Initial backoff after a failed read or a read by an agent, ns; it doubles
- * up to DIR_RETRY_MAX_NS. */
+/** Initial backoff after a failed read, a read by an agent, or a read that
+ * does not list the reading entry, ns; it doubles up to DIR_RETRY_MAX_NS. */
 #define DIR_RETRY_NS 250000000ULL
 /** Longest backoff, ns. */
 #define DIR_RETRY_MAX_NS 8000000000ULL
--- a/src/directory.c
+++ b/src/directory.c
@@ -43,7 +43,7 @@
 void
 dir_tick (struct dir_directory *d, bool isolated, uint64_t now_ns)
 {
-  if (!isolated)
+  if (!isolated && d->self.len == 0)
     d->backoff_ns = DIR_RETRY_NS;
   if (d->reading || now_ns < d->next_read_ns)
     return;
@@ -94,41 +94,60 @@
   d->ops->remove (address, d->ops_priv);
 }
 
+/* Counts whether ADDRESS answers.  Only reads that are DIR_REFRESH_NS apart
+   count, or an address would be removed for a few seconds of silence.  */
 static void
-check_address (struct dir_directory *d, struct lv_slice address)
+count_answer (struct dir_directory *d, struct lv_slice address)
 {
-  struct dir_unresponsive *s;
+  struct dir_unresponsive *s = find_unresponsive (d, address);
 
-  d->events.found (address, d->events.priv);
-  if (d->self.len == 0)
-    return;
   if (!d->events.answers (address, d->events.priv))
     count_failure (d, address);
-  else if ((s = find_unresponsive (d, address)) != NULL)
+  else if (s != NULL)
     remove_unresponsive (d, s);
 }
 
+static bool
+holds_self (const struct dir_directory *d, const struct lv_slice *addresses,
+            unsigned count)
+{
+  unsigned i;
+
+  if (d->self.len == 0)
+    return false;
+  for (i = 0; i < count; i++)
+    if (lv_slice_eq (addresses[i], d->self))
+      return true;
+  return false;
+}
+
 void
 dir_read_done (struct dir_directory *d, const struct lv_slice *addresses,
                unsigned count, uint64_t now_ns)
 {
-  bool listed = false;
+  bool listed = holds_self (d, addresses, count);
   unsigned i;
 
   d->reading = false;
   d->ever_read = true;
   for (i = 0; i < count; i++)
-    if (lv_slice_eq (addresses[i], d->self))
-      listed = true;
-    else if (addresses[i].len > 0 && addresses[i].len < DIR_ADDRESS_MAX)
-      check_address (d, addresses[i]);
-  if (d->self.len == 0)
-    schedule_retry (d, now_ns);
-  else
+    {
+      if (addresses[i].len == 0 || addresses[i].len >= DIR_ADDRESS_MAX
+          || lv_slice_eq (addresses[i], d->self))
+        continue;
+      d->events.found (addresses[i], d->events.priv);
+      if (listed)
+        count_answer (d, addresses[i]);
+    }
+  if (listed)
     {
       d->next_read_ns = now_ns + DIR_REFRESH_NS;
       d->backoff_ns = DIR_RETRY_NS;
-      if (!listed)
-        d->ops->add (d->self, d->ops_priv);
+      return;
     }
+  /* An entry reads until it finds its own address: of two that start at the
+     same moment, the one that is listed last then finds the other.  */
+  schedule_retry (d, now_ns);
+  if (d->self.len > 0)
+    d->ops->add (d->self, d->ops_priv);
 }
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -6,7 +6,8 @@
 Each append call adds one record to a keyed topic.  For tests, POST
 /test/put?key=K with a value appends a record to keyed.op, and POST
 /test/mode?mode=M sets the result of calls: "ok", "busy" (503), "silent" (no
-answer), "cut" (reads are truncated), "gone" (reads get 410).
+answer), "cut" (reads are truncated), "gone" (reads get 410), "late" (appends
+take effect after LATE_S).
 """
 import asyncio
 import base64
@@ -16,6 +17,7 @@
 from httpd import Drop, Server
 
 SILENT_S = 30
+LATE_S = 0.6
 
 
 class Store:
@@ -83,6 +85,8 @@
             if length != len(body) - 4 or body[4] >= length:
                 return 400, {}
             key = body[5:5 + body[4]].decode()
+            if self.mode == "late":
+                await asyncio.sleep(LATE_S)
             await self.put(args["topic"], key, body[5 + body[4]:])
             return 200, {"offset": len(self.records[args["topic"]]) - 1}
         if path == "/log-newest":
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -457,6 +457,16 @@
             0, job(run_ms=5))[0] == 200, 3))
         self.check_rules(c)
 
+    # Guards against entries that start at the same moment and read the list
+    # before either is on it: they and their agents did not know each other for
+    # 30 s.
+    def test_entries_that_start_together_find_each_other_through_the_store(self):
+        c = self.cluster(entries=2, agents=1, seeds=["127.0.0.1:9"],
+                         store_mode="late")
+        self.assertTrue(wait_until(lambda: all(
+            "peer-up" in c.log_of(e) for e in c.entries), 4))
+        c.await_ready()
+
     def test_an_agent_serves_a_few_of_many_entries_and_replaces_lost_ones(self):
         c = self.cluster(entries=4, agents=4, agent={"entries_max": 2})
 
--- a/tools/platform_cluster.py
+++ b/tools/platform_cluster.py
@@ -45,7 +45,7 @@
 
 class PlatformCluster:
     def __init__(self, entries=2, agents=2, mcores=8000, configured=True,
-                 proxy=False, seeds=None, agent=None):
+                 proxy=False, seeds=None, agent=None, store_mode="ok"):
         self.agent_settings = agent or {}
         self.dir = tempfile.mkdtemp(prefix="lagoonvale-")
         ports = iter(free_ports(2 + 6 * entries + 4 * agents))
@@ -63,6 +63,7 @@
         self.version = 0
         if configured:
             self.publish(queue("rush", "/rush/"))
+        self.set_mode(self.store, mode=store_mode)
         self.minions, self.agents, self.entries = [], [], []
         self.agent_ports = []
         for i in range(agents):
