Agents: a minion's report is as old as its own clock says

What callers would see: tasks started on a minion that has no room for them any more (LIMIT), for up to 4.5 s after its agent was paused, or after its instance was suspended.

Cause: the age of a report was counted from the moment the agent read it, by a clock that stands still while the instance is suspended. A report that waited in the socket of a paused agent was taken for a new one, and a capacity that had shrunk since was used for its whole term of validity. Class of fault: an age taken from the receipt of a message (looked for elsewhere: reports and orders between agents and entries carry stamps of the agent's own clock; versions of configurations only rise; losses carry their age by CLOCK_BOOTTIME).

Mend: minionclock, a pure module, keeps what is known of the minion's clock. Reports carry the clock by which they were written; their age is what that clock can have advanced since, or the time since they were read by CLOCK_BOOTTIME, whichever is longer. The bound is 100 ms shorter than before, the time until a start has reached the minion.

Ruled out: the order path, whose stamps are refused after 0.5 s, and the minion's polls, which carry no capacity.

--- a/include/lagoonvale/lagoonvale.h
+++ b/include/lagoonvale/lagoonvale.h
@@ -51,6 +51,7 @@
 #include "lagoonvale/ledger.h"
 #include "lagoonvale/logfield.h"
 #include "lagoonvale/minion.h"
+#include "lagoonvale/minionclock.h"
 #include "lagoonvale/minionhealth.h"
 #include "lagoonvale/name.h"
 #include "lagoonvale/nametable.h"
--- a/include/lagoonvale/minion.h
+++ b/include/lagoonvale/minion.h
@@ -67,6 +67,7 @@
  * struct mnn_report - status report of a minion
  * @incarnation: as in struct mnn_listing
  * @sequence: sequence number of the report
+ * @clock_ms: the minion's clock when it wrote the report, 0: not said
  * @total: resources of the minion that tasks may use
  * @leaving: whether the minion is draining
  */
@@ -75,6 +76,7 @@
   struct lv_slice service;
   uint64_t incarnation;
   uint64_t sequence;
+  uint64_t clock_ms;
   struct amt_amount total;
   bool leaving;
 };
--- /dev/null
+++ b/src/minionclock.c
@@ -0,0 +1,37 @@
+#include "lagoonvale/minionclock.h"
+
+#include "clock.h"
+
+void
+mck_observe (struct mck_clock *c, uint64_t value_ms, uint64_t asked_ns,
+             uint64_t answered_ns)
+{
+  c->value_ms = value_ms;
+  c->asked_ns = asked_ns;
+  c->answered_ns = answered_ns;
+}
+
+uint64_t
+mck_now_ms (const struct mck_clock *c, uint64_t now_ns)
+{
+  if (c->value_ms == 0)
+    return 0;
+  return c->value_ms + clk_since (now_ns, c->answered_ns) / CLK_MS;
+}
+
+uint64_t
+mck_age_ms (const struct mck_clock *c, const struct mck_stamp *stamp,
+            uint64_t now_ns)
+{
+  uint64_t read_ms = clk_since (now_ns, stamp->received_ns) / CLK_MS;
+  uint64_t latest_ms;
+  uint64_t written_ms;
+
+  if (c->value_ms == 0 || stamp->written_ms == 0)
+    return read_ms;
+  /* The answer was given after the call was sent, so the clock shows no more
+     than this now.  */
+  latest_ms = c->value_ms + clk_since (now_ns, c->asked_ns) / CLK_MS;
+  written_ms = clk_since (latest_ms, stamp->written_ms);
+  return written_ms > read_ms ? written_ms : read_ms;
+}
--- a/src/runner.c
+++ b/src/runner.c
@@ -70,11 +70,11 @@
   if (outdated == m->report_outdated)
     return;
   m->report_outdated = outdated;
-  log_line (
-      LOGL_WARN, outdated ? "minion-report-outdated" : "minion-report-current",
-      "age_ms=%llu mcores=%u runs=%u",
-      (unsigned long long)(clk_since (clk_now (), m->reported_ns) / CLK_MS),
-      r->tracker.total.mcores, HASH_COUNT (r->tracker.runs));
+  log_line (LOGL_WARN,
+            outdated ? "minion-report-outdated" : "minion-report-current",
+            "age_ms=%llu mcores=%u runs=%u",
+            (unsigned long long)rnr_report_age_ms (r), r->tracker.total.mcores,
+            HASH_COUNT (r->tracker.runs));
   rnr_notify_entries (r, true);
 }
 
@@ -203,7 +203,8 @@
               r->tracker.total.mcores, r->tracker.used.mcores);
   m->report_incarnation = report->incarnation;
   m->report_sequence = report->sequence;
-  m->reported_ns = clk_now ();
+  m->reported.written_ms = report->clock_ms;
+  m->reported.received_ns = clk_boot ();
   m->leaving = report->leaving;
   r->tracker.total = report->total;
   m->absent = false;
--- a/src/runner.h
+++ b/src/runner.h
@@ -17,6 +17,7 @@
 #include "lagoonvale/histogram.h"
 #include "lagoonvale/leasebounds.h"
 #include "lagoonvale/minion.h"
+#include "lagoonvale/minionclock.h"
 #include "lagoonvale/minionhealth.h"
 #include "lagoonvale/orderrate.h"
 #include "lagoonvale/renewal.h"
@@ -92,12 +93,11 @@
                                   0: none, or it is known what became of it */
   uint64_t report_incarnation; /* that sent the last report, 0: none */
   uint64_t report_sequence;    /* of the last report */
-  uint64_t reported_ns;        /* clk_now() at the last report */
+  struct mck_stamp reported;   /* when the last report was written */
   bool report_outdated;        /* as logged last */
   bool leaving;
   uint64_t alive_ns; /* clk_boot() at its last answer to any call */
-  uint64_t clock_ms; /* its clock in the last answer */
-  uint64_t clock_ns; /* clk_now() at that answer */
+  struct mck_clock clock;
   struct rnw_renewal renewal;
   struct mnh_health health; /* times by clk_boot() */
   bool health_changed;      /* since entries were told */
--- a/src/runner_minion.c
+++ b/src/runner_minion.c
@@ -10,12 +10,25 @@
 /* Time between polls of a minion that refused the last one, ns.  Its first
    report is answered by a poll at once.  */
 #define ABSENT_POLL_NS (100 * CLK_MS)
+/* Time from the decision to send a start until the minion has it, ms.  */
+#define START_MS 100
+
+uint64_t
+rnr_report_age_ms (const struct rnr_runner *r)
+{
+  const struct rnr_minion *m = &r->minion;
+  struct mck_stamp stamp = m->reported;
+
+  /* The clock is that of the process that answers polls.  */
+  if (m->report_incarnation != m->incarnation)
+    stamp.written_ms = 0;
+  return mck_age_ms (&m->clock, &stamp, clk_boot ());
+}
 
 bool
 rnr_report_outdated (const struct rnr_runner *r)
 {
-  return clk_since (clk_now (), r->minion.reported_ns)
-         > r->settings.report_max_age_ms * CLK_MS;
+  return rnr_report_age_ms (r) + START_MS > r->settings.report_max_age_ms;
 }
 
 bool
@@ -38,9 +51,9 @@
 
   if (lease_ns > r->settings.lease_max_ms * CLK_MS)
     lease_ns = r->settings.lease_max_ms * CLK_MS;
-  if (renew && m->clock_ns != 0)
+  if (renew && m->clock.value_ms != 0)
     {
-      lease.expires_ms = m->clock_ms + (now - m->clock_ns + lease_ns) / CLK_MS;
+      lease.expires_ms = mck_now_ms (&m->clock, now) + lease_ns / CLK_MS;
       rnw_requested (&m->renewal, now, lease_ns);
     }
   return lease;
@@ -66,10 +79,7 @@
                lv_slice_of (answer_name (result->answer)),
                clk_since (clk_boot (), sent_ns));
   if (result->clock_ms != 0)
-    {
-      r->minion.clock_ms = result->clock_ms;
-      r->minion.clock_ns = clk_now ();
-    }
+    mck_observe (&r->minion.clock, result->clock_ms, sent_ns, clk_now ());
   if (result->answer == MNN_UNANSWERED)
     ctr_add (&r->counters, RNR_UNANSWERED, 1);
   else if (result->answer != MNN_ABSENT)
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -178,6 +178,9 @@
 
 /* runner_minion.c */
 
+/** rnr_report_age_ms() - longest time that may have passed since the minion
+ * wrote its last report. */
+uint64_t rnr_report_age_ms (const struct rnr_runner *r);
 /** rnr_report_outdated() - whether the last report of the minion is too old to
  * go by: its capacity may have shrunk since. */
 bool rnr_report_outdated (const struct rnr_runner *r);
--- a/tests/process/test_crashes.py
+++ b/tests/process/test_crashes.py
@@ -306,6 +306,21 @@
         self.assertTrue(wait_until(
             lambda: c.submit(0, job(run_ms=20), wait_ms=1000)[0] == 200, 3))
 
+    # Guards against a report that waited in the socket of a paused agent and
+    # is taken for a new one: the minion has shrunk since it was written.
+    def test_a_report_that_was_read_late_is_as_old_as_its_clock_says(self):
+        c = self.ready(entries=1, agents=1)
+        c.agents[0].pause()
+        # The stand-in writes a report each half second.
+        time.sleep(1)
+        c.set_mode(c.minions[0], mcores=2000, mute=1)
+        time.sleep(3)
+        c.agents[0].resume()
+        callers = Callers(c, workers=6, count=2, run_ms=60, mcores=1000)
+        time.sleep(SHRUNK_S)
+        callers.stop()
+        self.check_rules(c)
+
     # Guards against a bound of that age which is shorter than the time between
     # two reports: such minions would get no starts for a part of it.
     def test_minions_that_seldom_report_get_starts_all_the_time(self):
--- /dev/null
+++ b/tests/unit/minionclock_test.cc
@@ -0,0 +1,59 @@
+#include <gtest/gtest.h>
+extern "C"
+{
+#include "lagoonvale/minionclock.h"
+}
+
+namespace
+{
+constexpr uint64_t kMs = 1000000;
+
+// Guards against a report that is taken for a new one because it was read just
+// now: it had waited in the socket of a paused or suspended agent.
+TEST (MinionClock, AReportIsAsOldAsItsClockSays)
+{
+  const struct
+  {
+    const char *what;
+    uint64_t value_ms, asked_ms; /* the last answer */
+    uint64_t written_ms, received_ms;
+    uint64_t now_ms, age_ms;
+  } cases[] = {
+    { "no answer yet", 0, 0, 500, 1000, 1200, 200 },
+    { "a report without a clock", 900, 1000, 0, 1000, 1200, 200 },
+    { "read at once", 500, 1000, 500, 1000, 1200, 200 },
+    { "read late, after an answer", 4500, 5000, 500, 5010, 5020, 4020 },
+    { "read late, and the last answer came before the pause", 500, 1000, 500,
+      5000, 5010, 4010 },
+    { "read late, with an answer that waited as well", 600, 1000, 500, 5000,
+      5000, 4100 },
+    { "written after the last answer", 400, 1000, 650, 1260, 1300, 50 },
+    { "read before the last answer", 4500, 5000, 500, 1010, 5020, 4020 },
+    { "a clock that stood still meanwhile", 700, 5000, 500, 1000, 5020, 4020 },
+    { "the clock of a later process", 10, 5000, 90000, 5000, 5020, 20 },
+    { "a clock without bounds", UINT64_MAX, 5000, 1, 5000, 5020, 20 },
+  };
+  for (const auto &c : cases)
+    {
+      struct mck_clock clock = {};
+      const struct mck_stamp stamp = { c.written_ms, c.received_ms * kMs };
+      if (c.value_ms != 0)
+        mck_observe (&clock, c.value_ms, c.asked_ms * kMs, 0);
+      EXPECT_EQ (mck_age_ms (&clock, &stamp, c.now_ms * kMs), c.age_ms)
+          << c.what;
+    }
+}
+
+// A lease is asked for by the least that the clock may show: the time since
+// the answer, without that in which agent and minion were suspended.
+TEST (MinionClock, ReadsOnSinceTheAnswer)
+{
+  struct mck_clock clock = {};
+
+  EXPECT_EQ (mck_now_ms (&clock, 5000 * kMs), 0U);
+  mck_observe (&clock, 700, 1000 * kMs, 2050 * kMs);
+  EXPECT_EQ (mck_now_ms (&clock, 2050 * kMs), 700U);
+  EXPECT_EQ (mck_now_ms (&clock, 2150 * kMs), 800U);
+  EXPECT_EQ (mck_now_ms (&clock, 2000 * kMs), 700U);
+}
+} // namespace
