Agents: starts name the process of the minion that they are meant for

What callers would see: a task that runs twice at a time (TWICE), and a start that nobody accounts for.

Cause: a start that was not answered may be executed 2 to 12 s later. If the minion crashed in between, the process that follows it at its address has seen no fencing token and no stop of that attempt, and its clock has begun anew, so that the start's expiry lies far ahead: it executes what was meant for its predecessor, while the task runs elsewhere. Class of fault: a request that outlives the process that it was sent to. Polls and stops do so too, but start nothing; polls must reach any process, for they show a restart.

Mend: starts carry the id of the process whose report they go by, in the header that the platform has for this; any other process refuses them, "not run". An id that cannot be sent in a header is left out, with a log line.

A process that starts again under the same id is not covered.

Before: test_a_start_meant_for_a_former_process_is_not_executed fails 8 of 8, the task running at both minions. After: 8 of 8 pass; test_crashes 18 of 18, test_runner's reports 3 of 3.

--- a/include/lagoonvale/minion.h
+++ b/include/lagoonvale/minion.h
@@ -52,19 +52,26 @@
   const struct rtk_listed_run *ends;
 };
 
+/** Longest id of a minion's process, with NUL. */
+#define MNN_ID_MAX 64
+
 /**
  * struct mnn_lease - lease that requests are sent under
+ * @process: id of the process that a start is meant for, empty if it has none:
+ * one that follows it at the same address does not execute the start
  * @token: fencing token
  * @expires_ms: expiry by the minion's clock, 0 if that is unknown
  */
 struct mnn_lease
 {
+  const char *process;
   uint64_t token;
   uint64_t expires_ms;
 };
 
 /**
  * struct mnn_report - status report of a minion
+ * @id: of its process, as its requests name it
  * @incarnation: as in struct mnn_listing
  * @sequence: sequence number of the report
  * @clock_ms: the minion's clock when it wrote the report, 0: not said
@@ -73,6 +80,7 @@
  */
 struct mnn_report
 {
+  struct lv_slice id;
   struct lv_slice service;
   uint64_t incarnation;
   uint64_t sequence;
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -289,6 +289,13 @@
   client->small_buffers = true;
 }
 
+void
+hcl_add_header (struct hcl_request *r, const char *line)
+{
+  r->headers = curl_slist_append (r->headers, line);
+  curl_easy_setopt (r->easy, CURLOPT_HTTPHEADER, r->headers);
+}
+
 void
 hcl_set_rate (struct hcl_request *r, uint64_t bytes_per_s)
 {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -69,6 +69,10 @@
  */
 void hcl_set_stall_timeout (struct hcl_request *request, long stall_ms);
 
+/** hcl_add_header() - add a header line, "NAME: VALUE", to a request that was
+ * created just now. */
+void hcl_add_header (struct hcl_request *request, const char *line);
+
 /**
  * hcl_set_rate() - limit the rate at which the response is received
  * @bytes_per_s: 0 for no limit
--- a/src/runner.c
+++ b/src/runner.c
@@ -1,8 +1,10 @@
 #include "runner_parts.h"
 
+#include <stdio.h>
 #include <utlist.h>
 
 #include "entropy.h"
+#include "lagoonvale/name.h"
 #include "logline.h"
 #include "tick.h"
 
@@ -177,6 +179,17 @@
          || !amt_equal (&report->total, &r->tracker.total);
 }
 
+/* An id that cannot be sent in a header is not used.  */
+static void
+set_id (struct rnr_minion *m, struct lv_slice id)
+{
+  bool usable = id.len < sizeof m->id && nam_valid (id);
+
+  if (!usable)
+    log_ratelimited (LOGL_WARN, "minion-bad-id", "bytes=%zu", id.len);
+  snprintf (m->id, sizeof m->id, "%.*s", usable ? (int)id.len : 0, id.data);
+}
+
 bool
 rnr_handle_minion_report (struct rnr_runner *r,
                           const struct mnn_report *report)
@@ -201,6 +214,7 @@
               (unsigned long long)report->incarnation, report->total.mcores,
               report->total.memory_mb, report->leaving,
               r->tracker.total.mcores, r->tracker.used.mcores);
+  set_id (m, report->id);
   m->report_incarnation = report->incarnation;
   m->report_sequence = report->sequence;
   m->reported.written_ms = report->clock_ms;
--- a/src/runner.h
+++ b/src/runner.h
@@ -92,6 +92,7 @@
   uint64_t silent_incarnation; /* that fell silent until its lease had expired,
                                   0: none, or it is known what became of it */
   uint64_t report_incarnation; /* that sent the last report, 0: none */
+  char id[MNN_ID_MAX];         /* of that process, empty: not usable */
   uint64_t report_sequence;    /* of the last report */
   struct mck_stamp reported;   /* when the last report was written */
   bool report_outdated;        /* as logged last */
--- a/src/runner_minion.c
+++ b/src/runner_minion.c
@@ -45,7 +45,7 @@
 rnr_make_lease (struct rnr_runner *r, bool renew)
 {
   struct rnr_minion *m = &r->minion;
-  struct mnn_lease lease = { .token = r->token.value };
+  struct mnn_lease lease = { .process = m->id, .token = r->token.value };
   uint64_t lease_ns = LBD_LEASE_NS;
   uint64_t now = clk_now ();
 
--- a/standins/httpd.py
+++ b/standins/httpd.py
@@ -8,6 +8,14 @@
     """Raised by a handler to close the connection without an answer."""
 
 
+class Args(dict):
+    """The query of a request; headers by their names in lower case."""
+
+    def __init__(self, query):
+        super().__init__(urllib.parse.parse_qsl(query))
+        self.headers = {}
+
+
 class Server:
     def __init__(self, handler):
         self.handler = handler
@@ -46,17 +54,16 @@
         if not line:
             return False
         method, target, _ = line.decode("latin-1").split(" ", 2)
-        length = 0
+        path, _, query = target.partition("?")
+        args = Args(query)
         while True:
             header = await reader.readline()
             if header in (b"\r\n", b"\n", b""):
                 break
             name, _, value = header.decode("latin-1").partition(":")
-            if name.strip().lower() == "content-length":
-                length = int(value)
+            args.headers[name.strip().lower()] = value.strip()
+        length = int(args.headers.get("content-length", 0))
         body = await reader.readexactly(length) if length else b""
-        path, _, query = target.partition("?")
-        args = dict(urllib.parse.parse_qsl(query))
         status, answer = await self.handler(method, path, args, body)
         if not isinstance(answer, bytes):
             answer = json.dumps(answer).encode()
--- a/standins/platform_minion.py
+++ b/standins/platform_minion.py
@@ -12,11 +12,12 @@
 the time of the expiry, and nothing that arrived meanwhile extends the lease.  A task's spec is JSON:
 run_ms, mcores, fail if the task is to fail, crash_ms if the minion is to crash
 after so much of its work.  A crashed minion is down for CRASH_S and then runs
-nothing and remembers nothing.
+nothing and remembers nothing; it has a new id, and refuses orders meant for
+another one.
 
 POST /test/mode sets by query: share (of orders that are executed but not
-answered), late_s (delay after which these are executed), hang=1 (runs make no
-progress), busy=1 (starts get 503), state=draining, mcores (its capacity from
+answered), late_s (delay after which these are executed), crash=1 (it crashes
+at once), hang=1 (runs make no progress), busy=1 (starts get 503), state=draining, mcores (its capacity from
 now on), refuse=1 (while crashed it refuses connections; otherwise it is
 silent), mute=1 (no reports), interval_s (time between reports), back_s (its
 clock goes back so far as it crashes), malformed=N (polls get the Nth of
@@ -62,13 +63,14 @@
                      "malformed": 0}
         self.state, self.acknowledged = "ready", False
         self.ended, self.down = asyncio.Condition(), False
-        self.server = Server(self.handle)
+        self.server, self.life = Server(self.handle), 0
         self.begin_life()
         self.record_room()
 
     def begin_life(self):
         self.started = time.monotonic()
         self.born = int((time.time() - self.mode["back_s"]) * 1000)
+        self.life += 1
         self.runs, self.ends, self.barred = {}, [], {}
         self.token, self.expires, self.end_number, self.seq = 0, 0, 0, 0
 
@@ -87,6 +89,9 @@
         self.log.write(json.dumps({"what": "room", "room": self.mcores,
                                    "at": time.monotonic()}) + "\n")
 
+    def id(self):
+        return "i-%d" % self.life
+
     def clock_ms(self):
         return int((time.monotonic() - self.started) * 1000) + 1
 
@@ -188,7 +193,9 @@
                 for r in self.runs.values()]
         return self.reply(200, running=rows, finished=self.ends[:500])
 
-    async def order(self, path, body):
+    async def order(self, path, body, meant):
+        if meant not in (None, self.id()):
+            return self.reply(421)
         if int(body["fencing_token"]) < self.token:
             return self.reply(409, reason="fence")
         self.token = int(body["fencing_token"])
@@ -203,12 +210,14 @@
             return self.reply(503)
         return self.start(body)
 
-    async def execute_unanswered(self, path, body):
+    async def execute_unanswered(self, path, body, meant):
         await asyncio.sleep(self.mode["late_s"])
-        await self.order(path, body)
+        await self.order(path, body, meant)
 
     async def handle(self, method, path, args, body):
         if path == "/test/mode":
+            if args.pop("crash", None):
+                asyncio.get_running_loop().create_task(self.crash())
             self.state = args.pop("state", self.state)
             self.mcores = int(args.pop("mcores", self.mcores))
             self.record_room()
@@ -217,15 +226,16 @@
         if path not in ("/hold", "/run-start", "/run-stop"):
             return 404, {}
         body = json.loads(body)
+        meant = args.headers.get("x-target-instance")
         if random.random() < self.mode["share"]:
             asyncio.get_running_loop().create_task(
-                self.execute_unanswered(path, body))
+                self.execute_unanswered(path, body, meant))
             await asyncio.sleep(1)
             raise Drop()
         answer = None
         if not self.down:
             life = self.born
-            answer = await self.order(path, body)
+            answer = await self.order(path, body, meant)
         if self.down or life != self.born:
             await asyncio.sleep(CRASH_S)
             raise Drop()
@@ -240,7 +250,7 @@
                 "labels": ["a", "r1"], "clock_ms": self.clock_ms(),
                 "born": self.born}
         request = urllib.request.Request(
-            "http://%s/instances/i-1" % self.agent,
+            "http://%s/instances/%s" % (self.agent, self.id()),
             json.dumps(body).encode(), method="PUT")
         try:
             urllib.request.urlopen(request, timeout=1).read()
--- a/tests/process/test_crashes.py
+++ b/tests/process/test_crashes.py
@@ -1,6 +1,7 @@
 """Process tests of tasks that crash the minion that runs them, and of minions
 whose capacity changes while they run."""
 import os
+import re
 import socket
 import threading
 import time
@@ -210,6 +211,31 @@
         self.check_rules(c)
 
 
+class LateStarts(CrashTest):
+    # Seconds after which the minion executes what it has not answered: it has
+    # crashed meanwhile and is back.
+    LATE_S = 4.0
+
+    # Guards against a start that was sent to a minion before it crashed and is
+    # executed by the process that follows: the task runs elsewhere by then.
+    def test_a_start_meant_for_a_former_process_is_not_executed(self):
+        c = self.crashing_cluster(1, entries=1, agents=2)
+        for m in c.minions:
+            c.set_mode(m, share=1, late_s=self.LATE_S)
+        name = os.urandom(8).hex()
+        answers = self.submit_in_background(c, 0, job(run_ms=5000), name,
+                                            wait_ms=10000)
+        placed = "event=place job=%s.0.0 agent=agent-([01])" % name
+        self.assertTrue(wait_until(lambda: re.search(
+            placed, c.log_of(c.entries[0]))))
+        first = int(re.search(placed, c.log_of(c.entries[0])).group(1))
+        c.set_mode(c.minions[first], crash=1, share=0)
+        c.set_mode(c.minions[1 - first], share=0)
+        self.assertTrue(wait_until(lambda: answers, 12))
+        self.assertEqual(answers[0][:2], (200, {"state": "completed"}))
+        self.check_rules(c)
+
+
 class Neighbours(CrashTest):
     # Guards against losing what runs beside a deadly task: it must be run
     # again while its callers wait, by two minions after one of three crashed.
--- a/tests/process/test_runner.py
+++ b/tests/process/test_runner.py
@@ -169,6 +169,24 @@
                              status)
         self.assertEqual(c.rule_violations(), [])
 
+    # Guards against an id that breaks the header it is sent in, or is cut: the
+    # minion would refuse every start.
+    def test_a_process_whose_id_cannot_be_sent_gets_starts(self):
+        c = PlatformCluster(entries=1, agents=1)
+        self.addCleanup(c.close)
+        c.await_ready()
+        c.set_mode(c.minions[0], mute=1)
+        time.sleep(0.6)
+        report = {"service": SERVICE, "state": "ready", "seq": 1000,
+                  "born": c.born(0),
+                  "room": {"cpu": 8000, "mem_mb": 65536, "gpu": 0}}
+        for name in ("", "i%0d%0aX:%201", "i%ff", "i" * 64, "i" * 4000):
+            with self.subTest(name=name[:20]):
+                url = "http://%s/instances/%s" % (c.agents[0].address, name)
+                self.assertEqual(http("PUT", url, report)[0], 200)
+                self.assertEqual(
+                    c.submit(0, job(run_ms=5), wait_ms=500)[0], 200)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/platform_cluster.py
+++ b/tools/platform_cluster.py
@@ -193,6 +193,12 @@
             self.addresses[entry]["jobs"], prefix, name), body,
             {"Host": HOST, "X-Deadline-Ms": str(wait_ms)}, timeout)
 
+    def born(self, i):
+        """Start of the process of minion i, as it says itself."""
+        _, answer = http("POST", "http://%s/hold" % self.minions[i].address,
+                         {"fencing_token": 0, "acked_through": 0})
+        return answer["born"]
+
     def events(self):
         """Starts and ends recorded by all minions, ordered by time."""
         return [e for e in self.records() if e["what"] not in ("room", "lease")]
