Agents: the exit of a former minion process changes nothing

What callers would see: a minion without starts for up to 1.5 s, until its next report.

Cause: a minion's last message, that it has ended, was taken for that of the present process whoever sent it. One that a cut delayed arrives after another process has registered at the same address. Reports of former processes were told apart already, by their start.

Before: test_the_exit_of_a_former_process_changes_nothing fails (503).

--- a/src/runner.c
+++ b/src/runner.c
@@ -229,8 +229,10 @@
 }
 
 void
-rnr_handle_minion_exit (struct rnr_runner *r)
+rnr_handle_minion_exit (struct rnr_runner *r, struct lv_slice id)
 {
+  if (r->minion.id[0] != '\0' && !lv_slice_eq (id, lv_slice_of (r->minion.id)))
+    return;
   log_line (LOGL_INFO, "minion-left", "runs=%u", HASH_COUNT (r->tracker.runs));
   r->minion.leaving = true;
   rnr_notify_entries (r, true);
--- a/src/runner.h
+++ b/src/runner.h
@@ -170,8 +170,9 @@
 bool rnr_handle_minion_report (struct rnr_runner *r,
                                const struct mnn_report *report);
 
-/** rnr_handle_minion_exit() - send the minion no more starts. */
-void rnr_handle_minion_exit (struct rnr_runner *r);
+/** rnr_handle_minion_exit() - send the minion no more starts, unless @id is
+ * that of a former process. */
+void rnr_handle_minion_exit (struct rnr_runner *r, struct lv_slice id);
 
 /** rnr_leave() - refuse further orders and let the runs end. */
 void rnr_leave (struct rnr_runner *r);
--- a/tests/process/test_runner.py
+++ b/tests/process/test_runner.py
@@ -169,6 +169,19 @@
                              status)
         self.assertEqual(c.rule_violations(), [])
 
+    # Guards against a farewell that was delayed until another process has
+    # followed at the same address, and takes that one out of use.
+    def test_the_exit_of_a_former_process_changes_nothing(self):
+        c = PlatformCluster(entries=1, agents=1)
+        self.addCleanup(c.close)
+        c.await_ready()
+        c.set_mode(c.minions[0], mute=1)
+        url = "http://%s/instances/" % c.agents[0].address
+        self.assertEqual(http("DELETE", url + "i-0")[0], 200)
+        self.assertEqual(c.submit(0, job(run_ms=5), wait_ms=500)[0], 200)
+        self.assertEqual(http("DELETE", url + "i-1")[0], 200)
+        self.assertEqual(c.submit(0, job(run_ms=5), wait_ms=500)[0], 503)
+
     # Guards against an id that breaks the header it is sent in, or is cut: the
     # minion would refuse every start.
     def test_a_process_whose_id_cannot_be_sent_gets_starts(self):
