Ages and deadlines count the time of a suspension, in all daemons

What callers would see: work that is started after its entry was told, or has assumed, that it will not be; an agent that uses a lease on a worker which lapsed while the instance was suspended.

Cause: agents, entries and dispatchers took ages and deadlines from the monotonic clock, which stands still while an instance is suspended. A pause (SIGSTOP) was noticed by the age of the last tick, and what had waited in the sockets was discarded; after a suspension that age was a few milliseconds, and it was carried out. Class of fault: an interval measured by a clock that stops with its owner.

Mend: clk_boot() for all of them, so that a suspension is handled like a pause. clk_now() is left where the clock must stand still: for the lease of a minion, whose own clock does so, and for durations that are only measured.

Ruled out: jobs that are ordered by a resumed dispatcher before it has expired them. Its agents have closed their sessions and must join again first, which takes several rounds of its event loop; the tick that expires jobs is due at once.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 UNIT_SRC = $(wildcard tests/unit/*.cc)
 UNIT_OBJ = $(UNIT_SRC:%.cc=$(B)/%.o)
 
-.PHONY: all deployed deps check-deps demo demo-up demo-down check unit lint \
+.PHONY: all suspendable deployed deps check-deps demo demo-up demo-down check unit lint \
   format format-check sanitize sanitize-threads fuzz mutants bench install clean \
   deploy-check soak man
 
@@ -74,6 +74,20 @@
 $(B)/lagoonvale-runner: $(B)/platform/runner_main.o $(PFM_OBJ) \
   $(B)/liblagoonvale.a
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
+# The daemons with the clock of an instance that can be suspended, for tests.
+DAEMONS = entry agent dispatcher runner
+SUSPENDABLE = $(DAEMONS:%=$(B)/suspendable/lagoonvale-%)
+SUSPENDABLE_CLOCK = $(B)/tests/process/suspendable.o
+$(B)/suspendable/lagoonvale-entry $(B)/suspendable/lagoonvale-agent: \
+  $(B)/suspendable/lagoonvale-%: $(B)/daemons/%_main.o $(SUSPENDABLE_CLOCK) \
+  $(B)/liblagoonvale.a
+	@mkdir -p $(@D)
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
+$(B)/suspendable/lagoonvale-dispatcher $(B)/suspendable/lagoonvale-runner: \
+  $(B)/suspendable/lagoonvale-%: $(B)/platform/%_main.o $(PFM_OBJ) \
+  $(SUSPENDABLE_CLOCK) $(B)/liblagoonvale.a
+	@mkdir -p $(@D)
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $(B)/slopes: $(B)/tools/slopes.o $(B)/liblagoonvale.a
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $(B)/example-queue: $(B)/examples/queue.o $(B)/liblagoonvale.a
@@ -101,11 +115,13 @@
 demo-down:
 	@python3 tools/demo.py down
 
+suspendable: $(SUSPENDABLE)
+
 unit: $(B)/unit
 	$(B)/unit --gtest_brief=1
 
 check: deps
-	@$(MAKE) -s -j4 all $(B)/unit $(B)/model
+	@$(MAKE) -s -j4 all $(B)/unit $(B)/model $(SUSPENDABLE)
 	@LV_BUILD=$(CURDIR)/$(B) python3 tests/run.py
 
 $(B)/model: $(B)/tests/model/model.o $(B)/liblagoonvale.a
@@ -113,7 +129,7 @@
 
 SOURCES = $(filter-out src/lvproto.h src/lvproto_xdr.c, \
   $(wildcard src/*.[ch] platform/*.[ch] include/lagoonvale/*.h daemons/*.[ch] cli/*.[ch] \
-  tools/*.[ch] examples/*.c tests/model/*.c))
+  tools/*.[ch] examples/*.c tests/model/*.c tests/process/*.c))
 TIDY_SOURCES = $(filter %.c,$(SOURCES))
 
 format:
--- a/include/lagoonvale/jobtable.h
+++ b/include/lagoonvale/jobtable.h
@@ -5,10 +5,7 @@
  * is placed at an agent, or may still run at an agent that is unreachable.
  * Jobs with waiting tasks are queued by priority, then by the latest start
  * that meets their target (least slack first).  Late jobs are queued behind
- * all others.  Pure.
- *
- * Times are by clk_now(), except @runs_until_ns and the times passed to
- * jtb_mark_unreachable() and jtb_find_lapsed(), which are by clk_boot().
+ * all others.  Pure; times are by clk_boot().
  */
 #ifndef LV_JOBTABLE_H
 #define LV_JOBTABLE_H
--- a/src/agent.c
+++ b/src/agent.c
@@ -140,7 +140,7 @@
       void *priv)
 {
   struct agt_agent *a = priv;
-  uint64_t now = clk_now ();
+  uint64_t now = clk_boot ();
 
   (void)ev;
   (void)te;
@@ -187,7 +187,7 @@
   a->set = *settings;
   a->ev = ev;
   a->incarnation = rnd_u64 ();
-  a->last_tick_ns = clk_now ();
+  a->last_tick_ns = clk_boot ();
   a->target_leaving = agt_leave;
   a->events = &agt_run_events;
   a->target = agt_target_find (a->set.target_kind);
@@ -229,7 +229,7 @@
   if (a->leaving)
     return;
   a->leaving = true;
-  a->leaving_ns = clk_now ();
+  a->leaving_ns = clk_boot ();
   a->grants.open = false;
   log_line (LOGL_INFO, "leaving", "why=%s running=%u", why, a->running_count);
   agt_member_leave (a, why);
@@ -240,7 +240,7 @@
 bool
 agt_done (const struct agt_agent *a)
 {
-  uint64_t now = clk_now ();
+  uint64_t now = clk_boot ();
 
   return a->leaving && a->running_count == 0 && a->queued_count == 0
          && a->worker.running == 0
--- a/src/agent_calls.c
+++ b/src/agent_calls.c
@@ -114,7 +114,7 @@
     }
   rc = is_stale (a, &sid) ? -ESTALE
                           : led_start (&a->ledger, &sid, call->ballot,
-                                       call->index, clk_now (), &task);
+                                       call->index, clk_boot (), &task);
   if (rc == 0)
     {
       agt_run_start (a, s, xid, call);
@@ -177,7 +177,7 @@
     }
   ctr_add (&a->counters, AGT_RESOLVES, 1);
   sid = wir_to_sid (&call.sid);
-  task = led_resolve (&a->ledger, &sid, call.ballot, call.index, clk_now (),
+  task = led_resolve (&a->ledger, &sid, call.ballot, call.index, clk_boot (),
                       &err);
   if (task == NULL)
     {
@@ -231,7 +231,7 @@
   next.port = call.port;
   rc = is_stale (a, &sid) ? -ESTALE
                           : led_fence (&a->ledger, &sid, &next, call.polite,
-                                       clk_now (), &held);
+                                       clk_boot (), &held);
   if (rc == 0)
     {
       res.started.started_val = started;
--- a/src/agent_member.c
+++ b/src/agent_member.c
@@ -13,7 +13,7 @@
 
   /* The tick retries a failed append after a second.  */
   if (err != 0)
-    a->next_refresh_ns = clk_now () + CLK_S;
+    a->next_refresh_ns = clk_boot () + CLK_S;
 }
 
 static void
@@ -63,7 +63,7 @@
   struct agt_agent *a = priv;
 
   if (!a->announced && !a->leaving)
-    announce (a, clk_now ());
+    announce (a, clk_boot ());
 }
 
 void
--- a/src/agent_run.c
+++ b/src/agent_run.c
@@ -42,7 +42,7 @@
     a->worker.running++;
   else
     a->running_count++;
-  run->started_ns = clk_now ();
+  run->started_ns = clk_boot ();
   ctr_add (&a->counters, AGT_STARTS, 1);
   if (log_enabled (LOGL_INFO))
     {
@@ -177,7 +177,7 @@
 {
   struct agt_agent *a = run->agent;
 
-  a->last_end_ns = clk_now ();
+  a->last_end_ns = clk_boot ();
   DL_DELETE (a->running, run);
   if (at_worker (run))
     {
@@ -194,7 +194,7 @@
 run_ended (struct agt_run *run, enum led_state state, struct lv_slice output)
 {
   struct agt_agent *a = run->agent;
-  uint64_t now = clk_now ();
+  uint64_t now = clk_boot ();
   uint64_t run_ns = clk_since (now, run->started_ns);
   struct led_task task = { .state = state, .run_ns = run_ns };
   lvp_outcome out;
--- a/src/agent_session.c
+++ b/src/agent_session.c
@@ -109,7 +109,7 @@
   struct agt_session *s = priv;
 
   /* Discard calls that were buffered in the socket during a pause.  */
-  if (clk_since (clk_now (), s->agent->last_tick_ns) > AGT_PAUSE_NS)
+  if (clk_since (clk_boot (), s->agent->last_tick_ns) > AGT_PAUSE_NS)
     {
       agt_drop_sessions (s->agent, "this process was paused");
       return;
@@ -156,7 +156,7 @@
     {
       grt_leave (&a->grants, (unsigned)s->grant_index);
       trn_set_waiting (&a->worker.turns, (unsigned)s->grant_index, false,
-                       clk_now ());
+                       clk_boot ());
     }
   DL_DELETE (a->sessions, s);
   ctr_set_gauge (&a->counters, AGT_SESSIONS,
@@ -196,7 +196,7 @@
 
   log_line (LOGL_WARN, "drop-sessions", "why=\"%s\"", why);
   ctr_add (&a->counters, AGT_PAUSES, 1);
-  a->last_tick_ns = clk_now ();
+  a->last_tick_ns = clk_boot ();
   DL_FOREACH_SAFE (a->sessions, s, next) { onc_close (s->conn, -ESTALE, why); }
 }
 
--- a/src/agent_worker.c
+++ b/src/agent_worker.c
@@ -67,7 +67,7 @@
   struct capa_size left;
 
   if (a->leaving || s->grant_index < 0
-      || !lse_usable (&a->worker.lease, clk_now ()))
+      || !lse_usable (&a->worker.lease, clk_boot ()))
     return room;
   room.total = wir_size (&a->worker.capacity.total);
   if (!trn_is_allowed (&a->worker.turns, (unsigned)s->grant_index))
@@ -87,7 +87,7 @@
   (void)ev;
   (void)im;
   a->worker.offers_scheduled = false;
-  trn_tick (&a->worker.turns, clk_now ());
+  trn_tick (&a->worker.turns, clk_boot ());
   DL_FOREACH (a->sessions, s)
   {
     lvp_room room = agt_worker_offer (s);
@@ -128,7 +128,7 @@
   struct agt_agent *a = s->agent;
 
   trn_set_waiting (&a->worker.turns, (unsigned)s->grant_index, n > 0,
-                   clk_now ());
+                   clk_boot ());
   schedule_offers (a);
 }
 
@@ -183,7 +183,7 @@
             "worker=%s holder=%s left_ms=%" PRIu64 " lost_epoch=%" PRIu64,
             a->set.worker_url, jsx_string (json, "holder", "-"),
             (uint64_t)(left_ns / CLK_MS), a->worker.lease.epoch);
-  lse_refused (&a->worker.lease, clk_now (), left_ns + LEASE_RETRY_NS);
+  lse_refused (&a->worker.lease, clk_boot (), left_ns + LEASE_RETRY_NS);
 }
 
 static void
@@ -240,7 +240,7 @@
       return;
     }
   capa_report_usage (&a->worker.capacity, &used,
-                     clk_since (clk_now (), age_ns));
+                     clk_since (clk_boot (), age_ns));
   schedule_offers (a);
 }
 
@@ -260,7 +260,7 @@
 {
   const struct capa_size none = { 0, 0, 0 };
 
-  capa_init (&a->worker.capacity, &none, clk_now ());
+  capa_init (&a->worker.capacity, &none, clk_boot ());
 }
 
 void
@@ -286,7 +286,7 @@
 {
   struct agt_agent *a = s->agent;
   struct agt_worker *w = &a->worker;
-  uint64_t now = clk_now ();
+  uint64_t now = clk_boot ();
   struct capa_size offered;
 
   if (!lse_usable (&w->lease, now) || !capa_reserve (&w->capacity, need, now))
@@ -306,7 +306,7 @@
 void
 agt_worker_release (struct agt_agent *a, const struct capa_size *need)
 {
-  capa_release (&a->worker.capacity, need, clk_now ());
+  capa_release (&a->worker.capacity, need, clk_boot ());
   schedule_offers_if_wanted (a);
 }
 
--- a/src/clock.h
+++ b/src/clock.h
@@ -15,7 +15,12 @@
 /** Nanoseconds in a second. */
 #define CLK_S 1000000000ULL
 
-/** clk_now() - monotonic time, ns. */
+/**
+ * clk_now() - monotonic time, ns, without time spent suspended
+ *
+ * For durations that are only measured, and for what a peer on the same
+ * instance counts by such a clock too: the lease of a minion.
+ */
 static inline uint64_t
 clk_now (void)
 {
@@ -28,8 +33,9 @@
 /**
  * clk_boot() - monotonic time, ns, that includes time spent suspended
  *
- * The ages of cached state and of leases are taken from this clock, so that
- * they count the time during which the instance was suspended.
+ * The ages of cached state, leases and connections and all deadlines are taken
+ * from this clock: to peers a suspended instance is a silent one, and what it
+ * was permitted has expired meanwhile.
  */
 static inline uint64_t
 clk_boot (void)
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -201,10 +201,10 @@
   dsp_close_silent (d, now);
   run_waiters (d);
   per_tick (&d->peers, now);
-  dsp_expire_jobs (d, clk_now ());
+  dsp_expire_jobs (d, clk_boot ());
   dsp_requeue_lapsed (d, now);
   flt_forget_expired (&d->fleet, now);
-  crl_expire (&d->crashes, clk_now ());
+  crl_expire (&d->crashes, clk_boot ());
   dsp_mark_confining (d);
   if (d->jobs.queue != NULL)
     dsp_schedule_placement (d);
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -130,8 +130,8 @@
   struct jtb_table jobs;
   struct bkl_backlog backlog; /* late jobs without any order */
   struct flt_fleet fleet;
-  struct crl_log crashes;       /* times by clk_now() */
-  struct blk_bulkhead bulkhead; /* times by clk_now() */
+  struct crl_log crashes;       /* times by clk_boot() */
+  struct blk_bulkhead bulkhead; /* times by clk_boot() */
   struct per_peers peers;
   struct cat_config *config;
   struct dsp_waiter *waiters;
--- a/src/dispatch_agents.c
+++ b/src/dispatch_agents.c
@@ -76,7 +76,7 @@
     {
       ctr_add (&d->counters, DSP_TASKS_DONE, 1);
       dsp_record_time (d, DSP_TIME_TASK, caller->queue,
-                       clk_since (clk_now (), task->placed_ns));
+                       clk_since (clk_boot (), task->placed_ns));
       dsp_answer_if_ended (d, job, jtb_mark_done (&d->jobs, task));
       return;
     }
--- a/src/dispatch_jobs.c
+++ b/src/dispatch_jobs.c
@@ -111,7 +111,7 @@
             const struct dsp_answer *answer)
 {
   struct dsp_caller caller = *(struct dsp_caller *)job->priv;
-  uint64_t now = clk_now ();
+  uint64_t now = clk_boot ();
 
   log_end (job, caller.queue, answer->outcome, answer->why, now);
   count_answer (d, answer);
@@ -292,7 +292,7 @@
   caller->answer (&answer, caller->priv);
   caller->answer = job->answer;
   caller->priv = job->priv;
-  accepted->deadline_ns = clk_now () + timeout_ns;
+  accepted->deadline_ns = clk_boot () + timeout_ns;
 }
 
 /* Apply to JOB, which was just accepted, what is known of crashes under its
@@ -341,7 +341,7 @@
               never ? RETRY_NEVER : RETRY_SHRUNK_MS);
       return;
     }
-  accepted = jtb_add (&d->jobs, &params, clk_now ());
+  accepted = jtb_add (&d->jobs, &params, clk_boot ());
   if (accepted == NULL)
     {
       refuse (d, job, "bad-id", RETRY_NEVER);
--- a/src/dispatch_place.c
+++ b/src/dispatch_place.c
@@ -20,7 +20,7 @@
   struct slg_step step = {
     .kind = kind,
     .at_ms
-    = (uint32_t)(clk_since (clk_now (), task->job->arrived_ns) / CLK_MS),
+    = (uint32_t)(clk_since (clk_boot (), task->job->arrived_ns) / CLK_MS),
     .task = task->index,
     .count = count,
     .attempt = task->attempt,
@@ -178,7 +178,7 @@
 
   if (task->suspect && crl_must_wait (dsp_find_crashes (d, task)))
     return -1;
-  if (task->suspect && crl_is_alert (&d->crashes, clk_now ())
+  if (task->suspect && crl_is_alert (&d->crashes, clk_boot ())
       && !cnd_may_lose_one (d->candidates, n))
     return -1;
   return cnd_select (d->candidates, n, &wanted);
@@ -191,7 +191,7 @@
            bool confined)
 {
   uint64_t first_run = d->jobs.next_run;
-  uint64_t now = clk_now ();
+  uint64_t now = clk_boot ();
   uint32_t waiting = job->waiting;
   bool was_in_backlog = job->late && job->orders == 0;
   uint32_t i;
@@ -293,7 +293,7 @@
   struct jtb_job *next;
   unsigned count = 0;
 
-  jtb_demote_late (&d->jobs, clk_now ());
+  jtb_demote_late (&d->jobs, clk_boot ());
   dsp_count_suspects (d);
   DL_FOREACH_SAFE (d->jobs.queue, job, next)
   {
--- a/src/dispatch_risk.c
+++ b/src/dispatch_risk.c
@@ -31,7 +31,7 @@
   if (known == NULL || known->newest_ns < task->placed_ns)
     {
       run.task = lv_slice_of (dsp_task_name (task, name));
-      crl_record (&d->crashes, &run, 1, clk_now ());
+      crl_record (&d->crashes, &run, 1, clk_boot ());
       known = crl_find (&d->crashes, run.task);
     }
   task->suspect = crl_is_suspect (known);
@@ -41,7 +41,7 @@
 static uint64_t
 loss_time (const lvp_loss *loss)
 {
-  return clk_since (clk_now (), loss->ago_ms * CLK_MS);
+  return clk_since (clk_boot (), loss->ago_ms * CLK_MS);
 }
 
 static void
@@ -150,7 +150,7 @@
   const struct dsp_caller *caller = job->priv;
 
   return blk_is_confined (&d->bulkhead, lv_slice_of (caller->queue),
-                          clk_now ());
+                          clk_boot ());
 }
 
 /* Whether confined queues hold so little of the placed work that the others
@@ -215,7 +215,7 @@
 
   DL_FOREACH (d->fleet.agents, a)
   a->confining = false;
-  if (!blk_any (&d->bulkhead, clk_now ()) || !others_gain (d))
+  if (!blk_any (&d->bulkhead, clk_boot ()) || !others_gain (d))
     return;
   DL_FOREACH (d->fleet.agents, a)
   if (is_first_of_service (d, a))
@@ -227,7 +227,7 @@
 {
   const struct flt_agent *a;
 
-  if (!blk_any (&d->bulkhead, clk_now ()) || !queue_is_confined (d, job))
+  if (!blk_any (&d->bulkhead, clk_boot ()) || !queue_is_confined (d, job))
     return false;
   DL_FOREACH (d->fleet.agents, a)
   if (a->confining && strcmp (a->service, job->service) == 0)
--- a/src/entry.c
+++ b/src/entry.c
@@ -216,7 +216,7 @@
       void *priv)
 {
   struct ent_entry *e = priv;
-  uint64_t now = clk_now ();
+  uint64_t now = clk_boot ();
 
   (void)ev;
   (void)te;
@@ -252,7 +252,7 @@
   (void)flags;
   if (read (e->wake_fd, &count, sizeof count) < 0 && errno != EAGAIN)
     return;
-  detect_pause (e, clk_now ());
+  detect_pause (e, clk_boot ());
   while ((node = cds_wfcq_dequeue_blocking (&e->intake_head, &e->intake_tail))
          != NULL)
     {
@@ -345,7 +345,7 @@
     return err->code;
   e->rng = gsl_rng_alloc (gsl_rng_taus2);
   gsl_rng_set (e->rng, (unsigned long)e->incarnation);
-  e->last_tick_ns = clk_now ();
+  e->last_tick_ns = clk_boot ();
   ctr_init (&e->counters, counter_descs, ENT_COUNTERS);
   ros_init (&e->roster, ev);
   rvs_init (&e->rules, ev);
@@ -373,7 +373,7 @@
   if (e->leaving)
     return;
   e->leaving = true;
-  e->leaving_ns = clk_now ();
+  e->leaving_ns = clk_boot ();
   log_line (LOGL_INFO, "leaving", "open=%u queued=%zu", e->open_records,
             ent_queued_count (e));
   ent_publish_view (e);
@@ -385,7 +385,7 @@
 {
   return e->leaving && e->open_records == 0
          && atomic_load (&e->http_pending) == 0 && e->forward_pending == 0
-         && clk_since (clk_now (), e->leaving_ns) > LEAVE_LINGER_NS;
+         && clk_since (clk_boot (), e->leaving_ns) > LEAVE_LINGER_NS;
 }
 
 void
--- a/src/entry_adopt.c
+++ b/src/entry_adopt.c
@@ -231,7 +231,7 @@
 send_fences (struct ent_adoption *a)
 {
   struct ent_entry *e = a->rec->entry;
-  bool late = clk_now () >= a->deadline_ns;
+  bool late = clk_boot () >= a->deadline_ns;
 
   for (uint32_t i = 0; i < a->core.count; i++)
     {
@@ -300,7 +300,7 @@
   rec->phase = ENT_ADOPTING;
   a = xtalloc_zero (rec, struct ent_adoption);
   a->rec = rec;
-  a->deadline_ns = clk_now () + e->set.resolve_ms * CLK_MS;
+  a->deadline_ns = clk_boot () + e->set.resolve_ms * CLK_MS;
   a->started = xtalloc_zero_array (a, struct started, n);
   agents = xtalloc_zero_array (a, struct adp_agent, n);
   list_agents (e, sid->roster, agents);
--- a/src/entry_bind.c
+++ b/src/entry_bind.c
@@ -69,7 +69,7 @@
 retry_later (struct ent_binding *b, const char *code, const char *detail)
 {
   b->call_pending = false;
-  if (clk_now () >= b->deadline_ns)
+  if (clk_boot () >= b->deadline_ns)
     {
       fail_bind (b, code, detail);
       return;
@@ -236,7 +236,7 @@
 
   b->rec = rec;
   b->bucket = ros_bucket (lv_slice_of (rec->request->key));
-  b->deadline_ns = clk_now () + e->set.silent_ms * CLK_MS;
+  b->deadline_ns = clk_boot () + e->set.silent_ms * CLK_MS;
   rec->phase = ENT_BINDING;
   rec->binding = b;
   bind_next_home (b);
--- a/src/entry_calls.c
+++ b/src/entry_calls.c
@@ -26,7 +26,7 @@
     log_line (LOGL_WARN, "estimates-shared", "kind=%.*s own=%d", (int)kind.len,
               kind.data, EST_KINDS_MAX);
   if (!hlt_observe (worker ? &e->worker_fleet : &e->fleet, health, succeeded,
-                    est_failure_rate (&e->estimates, kind), clk_now ()))
+                    est_failure_rate (&e->estimates, kind), clk_boot ()))
     return;
   ctr_add (&e->counters, ENT_EJECTIONS, health->state == HLT_EJECTED);
   log_line (LOGL_WARN, "health",
@@ -48,7 +48,7 @@
   ent_usage_add (e, ent_team_of (rec), kind, -1);
   if (!call->adopted)
     que_release (ent_queue_for (e, task->spec), ent_team_of (rec),
-                 rec->request->urgency, kind, task->item.slots, clk_now ());
+                 rec->request->urgency, kind, task->item.slots, clk_boot ());
 }
 
 static enum sub_outcome
@@ -121,7 +121,7 @@
                                      out->output.lvp_bytes_len);
       task->output_len = out->output.lvp_bytes_len;
     }
-  rec->progress_ns = clk_now ();
+  rec->progress_ns = clk_boot ();
   release_usage (call, rec);
   observe_run (call, rec, task, out);
   step
@@ -159,7 +159,7 @@
     sub_mark_disconnected (&rec->core, call->index);
   if (call->lost_ns == 0)
     {
-      call->lost_ns = clk_now ();
+      call->lost_ns = clk_boot ();
       DL_APPEND (link->unresolved, call);
     }
 }
@@ -305,7 +305,7 @@
   ent_usage_add (e, ent_team_of (rec), lv_slice_of (task->spec->kind), 1);
   hlt_probe (ent_needs_worker (task->spec) ? &link->worker_health
                                            : &link->health,
-             clk_now ());
+             clk_boot ());
   ctr_add (&e->counters, ENT_STARTS, 1);
   log_placement (link, task, clk_since (now_ns, task->item.stamp_ns));
   if (onc_call (link->conn, LVP_START, (xdrproc_t)xdr_lvp_start, &msg,
--- a/src/entry_dispatch.c
+++ b/src/entry_dispatch.c
@@ -72,7 +72,7 @@
 void
 ent_dispatch (struct ent_entry *e)
 {
-  uint64_t now = clk_now ();
+  uint64_t now = clk_boot ();
 
   while (e->queue.count > 0)
     {
--- a/src/entry_link.c
+++ b/src/entry_link.c
@@ -108,9 +108,9 @@
   link->established = false;
   link->credits = 0;
   clear_worker (link);
-  link->retry_ns = clk_now () + RETRY_NS;
+  link->retry_ns = clk_boot () + RETRY_NS;
   if (link->lost_ns == 0)
-    link->lost_ns = clk_now ();
+    link->lost_ns = clk_boot ();
 }
 
 static void
@@ -208,8 +208,8 @@
 {
   struct onc_handler handler = { on_call, on_closed, link };
 
-  link->retry_ns = clk_now () + RETRY_NS;
-  link->beat_ns = clk_now ();
+  link->retry_ns = clk_boot () + RETRY_NS;
+  link->beat_ns = clk_boot ();
   link->conn = ent_dial (link->entry, link->member->addr, link->member->port,
                          ++link->session, &handler, on_hello, link);
 }
@@ -231,7 +231,7 @@
   link->member = m;
   link->slots = m->slots;
   link->near = strcmp (m->domain, e->self.domain) == 0;
-  link->lost_ns = clk_now ();
+  link->lost_ns = clk_boot ();
   m->priv = link;
   DL_APPEND (e->links, link);
   e->link_count++;
--- a/src/entry_log.c
+++ b/src/entry_log.c
@@ -21,7 +21,7 @@
   struct ent_entry *e = priv;
 
   if (err != 0)
-    e->next_refresh_ns = clk_now () + CLK_S;
+    e->next_refresh_ns = clk_boot () + CLK_S;
 }
 
 static uint64_t
@@ -97,7 +97,7 @@
 
   e->members_known = true;
   if (!e->announced && !e->leaving)
-    announce (e, clk_now ());
+    announce (e, clk_boot ());
   if (first)
     ent_publish_view (e);
 }
@@ -130,7 +130,7 @@
                 ? (int64_t)(clk_wall_ms () - e->rules.accepted_ms)
                 : -1);
   ctr_set_gauge (&e->counters, ENT_RULES_VERSION, e->rules.version);
-  e->next_state_ns = clk_now () + STATE_MIN_NS + jitter (CLK_S);
+  e->next_state_ns = clk_boot () + STATE_MIN_NS + jitter (CLK_S);
 }
 
 void
@@ -168,7 +168,7 @@
               fates[fate]);
   if (fate == RVS_UNCHANGED)
     /* Another entry has just appended the state.  */
-    e->next_state_ns = clk_now () + e->set.refresh_s * CLK_S
+    e->next_state_ns = clk_boot () + e->set.refresh_s * CLK_S
                        + jitter (e->set.refresh_s * CLK_S);
 }
 
--- a/src/entry_peer.c
+++ b/src/entry_peer.c
@@ -173,7 +173,7 @@
   (void)err;
   peer->conn = NULL;
   peer->established = false;
-  peer->retry_ns = clk_now () + RETRY_NS;
+  peer->retry_ns = clk_boot () + RETRY_NS;
 }
 
 static void
@@ -184,7 +184,7 @@
 
   if (err != 0 || !WIR_DECODE (lvp_hello_res, res, &hello))
     return;
-  peer->heard_ns = clk_now ();
+  peer->heard_ns = clk_boot ();
   if (peer->incarnation == 0)
     peer->incarnation = hello.incarnation;
   if (hello.incarnation == peer->incarnation)
@@ -206,8 +206,8 @@
 {
   struct onc_handler handler = { on_call, on_closed, peer };
 
-  peer->retry_ns = clk_now () + RETRY_NS;
-  peer->beat_ns = clk_now ();
+  peer->retry_ns = clk_boot () + RETRY_NS;
+  peer->beat_ns = clk_boot ();
   peer->conn = ent_dial (peer->entry, peer->addr, peer->port, ++peer->session,
                          &handler, on_hello, peer);
 }
@@ -231,7 +231,7 @@
   peer->incarnation = incarnation;
   peer->addr = addr;
   peer->port = port;
-  peer->heard_ns = clk_now ();
+  peer->heard_ns = clk_boot ();
   peer->used_ns = peer->heard_ns;
   DL_APPEND (e->peers, peer);
   connect_peer (peer);
@@ -250,7 +250,7 @@
   f->peer = peer;
   f->request = r;
   memcpy (&f->sid, sid, sizeof *sid);
-  peer->used_ns = clk_now ();
+  peer->used_ns = clk_boot ();
   ctr_add (&e->counters, ENT_FORWARDED, 1);
   if (log_enabled (LOGL_INFO))
     {
@@ -277,7 +277,7 @@
   (void)conn;
   (void)res;
   if (err == 0)
-    peer->heard_ns = clk_now ();
+    peer->heard_ns = clk_boot ();
 }
 
 static void
--- a/src/entry_queue.c
+++ b/src/entry_queue.c
@@ -41,7 +41,7 @@
   t->item.slots = t->spec->cores;
   que_push (ent_queue_for (e, t->spec), &t->item, ent_team_of (rec),
             rec->request->urgency, kind, est_mean (&e->estimates, kind),
-            spread_ns, clk_now ());
+            spread_ns, clk_boot ());
 }
 
 void
--- a/src/entry_record.c
+++ b/src/entry_record.c
@@ -56,7 +56,7 @@
   rec->entry = e;
   memcpy (&rec->sid, sid, sizeof *sid);
   rec->fingerprint = r->fingerprint;
-  rec->began_ns = clk_now ();
+  rec->began_ns = clk_boot ();
   rec->progress_ns = rec->began_ns;
   rec->phase = ENT_BINDING;
   waiter = req_split_waiter (r);
@@ -98,7 +98,7 @@
       return;
     }
   if (r->wait_ms < UINT32_MAX)
-    r->until_ns = clk_now () + r->wait_ms * CLK_MS;
+    r->until_ns = clk_boot () + r->wait_ms * CLK_MS;
   DL_APPEND (rec->waiters, r);
 }
 
@@ -194,7 +194,7 @@
   struct ent_entry *e = rec->entry;
 
   rec->phase = ENT_ENDED;
-  rec->ended_ns = clk_now ();
+  rec->ended_ns = clk_boot ();
   rec->answer = answer;
   log_end (rec, state);
   answer_waiters (rec);
@@ -284,7 +284,7 @@
   struct ent_entry *e = rec->entry;
 
   ctr_add (&e->counters, ENT_REFUSALS, 1);
-  rec->ended_ns = clk_now ();
+  rec->ended_ns = clk_boot ();
   rec->fail_code = why->code;
   rec->fail_step = why->step;
   rec->answer = req_answer_refusal (why, &rec->sid);
--- a/src/onc.c
+++ b/src/onc.c
@@ -156,7 +156,7 @@
                                  memory_order_relaxed);
     }
   b->off = b->len = 0;
-  conn->last_sent = clk_now ();
+  conn->last_sent = clk_boot ();
   TEVENT_FD_NOT_WRITEABLE (conn->fde);
 }
 
@@ -378,7 +378,7 @@
       return;
     }
   b->len += (size_t)n;
-  conn->last_received = clk_now ();
+  conn->last_received = clk_boot ();
   handle_records (conn);
 }
 
@@ -418,7 +418,7 @@
   conn->ev = ev;
   conn->handler = *handler;
   conn->flush = xtalloc_check (tevent_create_immediate (conn));
-  conn->last_received = clk_now ();
+  conn->last_received = clk_boot ();
   strncpy (conn->peer, peer, sizeof conn->peer - 1);
   conn->fde = xtalloc_check (
       tevent_add_fd (ev, conn, fd, TEVENT_FD_READ, io_cb, conn));
--- a/src/onc.h
+++ b/src/onc.h
@@ -75,10 +75,10 @@
 /** onc_peer() - name of the peer. */
 const char *onc_peer (const struct onc_conn *conn);
 
-/** onc_last_received() - monotonic time of the last input, ns. */
+/** onc_last_received() - time of the last input by clk_boot(), ns. */
 uint64_t onc_last_received (const struct onc_conn *conn);
 
-/** onc_last_sent() - monotonic time of the last output, ns. */
+/** onc_last_sent() - time of the last output by clk_boot(), ns. */
 uint64_t onc_last_sent (const struct onc_conn *conn);
 
 /** onc_calls_sent() - calls sent by this process on all connections. */
--- a/src/peers.c
+++ b/src/peers.c
@@ -238,7 +238,7 @@
 static bool
 is_receiving (const struct per_peer *peer)
 {
-  return clk_since (clk_now (), onc_last_received (peer->conn))
+  return clk_since (clk_boot (), onc_last_received (peer->conn))
          < EXCHANGE_TIMEOUT_NS;
 }
 
--- a/src/runner_entries.c
+++ b/src/runner_entries.c
@@ -259,7 +259,7 @@
 is_dead (const struct rnr_session *s, uint64_t now_ns)
 {
   return !lbd_is_fresh (s->confirmed_ns, now_ns)
-         && (!lbd_is_fresh (onc_last_received (s->conn), clk_now ())
+         && (!lbd_is_fresh (onc_last_received (s->conn), clk_boot ())
              || clk_since (now_ns, s->confirmed_ns) >= CONFIRM_MAX_NS);
 }
 
--- a/tests/process/client.py
+++ b/tests/process/client.py
@@ -125,3 +125,18 @@
         if outcome == "not_run" and sid:
             ran = [t for t in starts if t.startswith(sid + "/")]
             self.assertEqual(ran, [], "refused as not run: %s" % answer)
+
+
+class SingleTests(ProcessTest):
+    """Runs tests of other classes one by one."""
+
+    def run_test(self, cls, name):
+        result = cls(name).defaultTestResult()
+        if hasattr(cls, "c") or name.startswith("test_rpc"):
+            cls.setUpClass()
+        try:
+            cls(name).run(result)
+        finally:
+            cls.tearDownClass()
+        self.assertEqual(result.errors + result.failures, [])
+        self.assertEqual(result.testsRun, 1)
--- a/tests/process/test_sanitized.py
+++ b/tests/process/test_sanitized.py
@@ -4,21 +4,10 @@
 import test_all_or_nothing
 import test_bad_input
 import test_start_once
-from client import ProcessTest
+from client import SingleTests
 
 
-class SanitizedPath(ProcessTest):
-    def run_test(self, cls, name):
-        result = cls(name).defaultTestResult()
-        if hasattr(cls, "c") or name.startswith("test_rpc"):
-            cls.setUpClass()
-        try:
-            cls(name).run(result)
-        finally:
-            cls.tearDownClass()
-        self.assertEqual(result.errors + result.failures, [])
-        self.assertEqual(result.testsRun, 1)
-
+class SanitizedPath(SingleTests):
     def test_sanitized_same_id_and_key(self):
         self.run_test(test_start_once.SameSubmission,
                       "test_same_id_and_same_key")
--- a/tests/process/test_start_once.py
+++ b/tests/process/test_start_once.py
@@ -267,6 +267,20 @@
                 a["connected"] for a in c.status(0)["agents"]) == 3))
             self.resubmit(c, body, ["complete"])
 
+    # Guards against an agent that starts what waited in its socket while it was
+    # paused: its entry has given up on it.
+    def test_a_start_that_waited_at_a_paused_agent_is_discarded(self):
+        with cluster(entries=1, agents=1) as c:
+            c.agents[0].pause()
+            caller = Caller(c, 0, job(1, 50), timeout=30)
+            self.assertEqual(caller.result(), "may_have_run")
+            time.sleep(1)
+            c.agents[0].resume()
+            again = Caller(c, 0, job(1, 50), tries=20)
+            self.assertEqual(again.result(), "complete")
+            self.assertEqual(sum(c.starts().values()), 1)
+            self.check_invariants(c, [caller, again])
+
     def test_young_homes_refuse_keys_of_unknown_age(self):
         with cluster() as c:
             caller = Caller(c, 0, job(1, 50, key="old"))
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -15,6 +15,8 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 BUILD = os.environ.get("LV_BUILD", os.path.join(ROOT, "build"))
+# Folder of the daemons that clusters start.
+PROGRAMS = BUILD
 DOMAINS = ["catania", "palermo", "siracusa"]
 
 
@@ -273,7 +275,7 @@
         settings.update(extra)
         path = self.write_settings(settings["name"], settings)
         return self.spawn(settings["name"],
-                          [os.path.join(BUILD, "lagoonvale-agent"), path],
+                          [os.path.join(PROGRAMS, "lagoonvale-agent"), path],
                           plan["metrics"],
                           "http://%s/readyz" % plan["metrics"])
 
@@ -289,7 +291,7 @@
         settings.update(extra)
         path = self.write_settings(plan["name"], settings)
         return self.spawn(plan["name"],
-                          [os.path.join(BUILD, "lagoonvale-entry"), path],
+                          [os.path.join(PROGRAMS, "lagoonvale-entry"), path],
                           plan["http"], "http://%s/readyz" % plan["http"])
 
     @staticmethod
--- a/tools/platform_cluster.py
+++ b/tools/platform_cluster.py
@@ -8,7 +8,8 @@
 import threading
 import time
 
-from cluster import BUILD, ROOT, Process, free_ports, http, wait_until
+import cluster
+from cluster import ROOT, Process, free_ports, http, wait_until
 
 SERVICE = "cutting"
 HOST = "jobs.example"
@@ -138,7 +139,7 @@
             "domain": "d%d" % i,
             "store": self.routes.get("store-%d" % i, self.store.address)},
             **self.addresses[i], **more))
-        argv = [os.path.join(BUILD, "lagoonvale-dispatcher"), path]
+        argv = [os.path.join(cluster.PROGRAMS, "lagoonvale-dispatcher"), path]
         return self.add_process(name, argv, self.addresses[i]["jobs"],
                                 "http://%s/ready" % self.addresses[i]["ready"])
 
@@ -153,7 +154,7 @@
             "minion": self.routes.get("minion-%d" % i, orders),
             "metrics": metrics, "store": self.store.address,
             "lease_max_ms": 1000, **self.agent_settings})
-        argv = [os.path.join(BUILD, "lagoonvale-runner"), path]
+        argv = [os.path.join(cluster.PROGRAMS, "lagoonvale-runner"), path]
         self.agents.append(self.add_process(name, argv, report,
                                             "http://%s/metrics" % metrics))
 
