Agents: a start is sent to the minion once, never repeated by libcurl

What callers would see: a task that runs twice at a time (TWICE), or a job that is said not to have run although it has.

Cause: libcurl sends a request again, without telling, if a connection that was used before ends without an answer. A start that the minion executed before it cut the connection was sent a second time; if that one was refused (503, 429, an old attempt), the agent took it for "not executed" and the entry ordered the task elsewhere, while it ran. Class of fault: an answer taken for that to another request.

Ruled out: telling by the number of connections that libcurl opened; it repeats on another kept connection (tried: the test still fails, reverted). A new connection for each start, as the agent of our own interface does, would be paid with each start.

Mend: libcurl asks before each sending; the second one is forbidden, so that the start has failed and is unanswered. It is stopped before it counts as ended, as any start without an answer.

Looked for elsewhere: stops, polls and the store's keyed records may be repeated without harm; starts at the minions and workers of our own interface use a connection each.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -38,6 +38,7 @@
   size_t response_len;
   hcl_done_fn done;
   void *priv;
+  unsigned sendings; /* of a request that must not be repeated */
   uint64_t stall_ns;
   uint64_t marked_ns;
   size_t marked_len;
@@ -289,6 +290,27 @@
   client->small_buffers = true;
 }
 
+/* Called each time before a request is sent.  */
+static int
+count_sending (void *priv, char *peer_ip, char *own_ip, int peer_port,
+               int own_port)
+{
+  struct hcl_request *r = priv;
+
+  (void)peer_ip;
+  (void)own_ip;
+  (void)peer_port;
+  (void)own_port;
+  return ++r->sendings > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+void
+hcl_forbid_repeat (struct hcl_request *r)
+{
+  curl_easy_setopt (r->easy, CURLOPT_PREREQFUNCTION, count_sending);
+  curl_easy_setopt (r->easy, CURLOPT_PREREQDATA, r);
+}
+
 void
 hcl_add_header (struct hcl_request *r, const char *line)
 {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -69,6 +69,16 @@
  */
 void hcl_set_stall_timeout (struct hcl_request *request, long stall_ms);
 
+/**
+ * hcl_forbid_repeat() - send a request that was created just now only once
+ *
+ * libcurl sends a request again if a connection that was used before ends
+ * without an answer; such a request fails with -EIO instead, or with
+ * -ECONNREFUSED if the peer refuses the new connection.  It may have been
+ * executed in both cases.
+ */
+void hcl_forbid_repeat (struct hcl_request *request);
+
 /** hcl_add_header() - add a header line, "NAME: VALUE", to a request that was
  * created just now. */
 void hcl_add_header (struct hcl_request *request, const char *line);
--- a/src/runner_runs.c
+++ b/src/runner_runs.c
@@ -78,8 +78,8 @@
       rtk_mark_started (&r->tracker, run, clk_boot ());
       break;
     case MNN_ABSENT:
-      /* libcurl repeats a request whose reused connection breaks: the first
-         one may have started the task, and crashed the minion.  */
+      /* This may be the second connection: the request was sent on one that
+         broke, and may have started the task and crashed the minion.  */
     case MNN_UNANSWERED:
       log_line (LOGL_INFO, "start-unanswered", "task=%s attempt=%u", run->name,
                 run->attempt);
--- a/standins/platform_minion.py
+++ b/standins/platform_minion.py
@@ -21,7 +21,8 @@
 now on), refuse=1 (while crashed it refuses connections; otherwise it is
 silent), mute=1 (no reports), interval_s (time between reports), back_s (its
 clock goes back so far as it crashes), malformed=N (polls get the Nth of
-MALFORMED instead of the lists of runs).
+MALFORMED instead of the lists of runs), cut=1 (the next start is executed, its
+connection is closed without an answer, and if it is sent again it gets 503).
 """
 import asyncio
 import json
@@ -60,7 +61,8 @@
         self.mcores, self.log = mcores, open(log, "a", buffering=1)
         self.mode = {"share": 0.0, "late_s": 0.0, "hang": 0, "busy": 0,
                      "refuse": 0, "mute": 0, "back_s": 0.0, "interval_s": 0.5,
-                     "malformed": 0}
+                     "malformed": 0, "cut": 0}
+        self.cut = None
         self.state, self.acknowledged = "ready", False
         self.ended, self.down = asyncio.Condition(), False
         self.server, self.life = Server(self.handle), 0
@@ -206,9 +208,14 @@
             return await self.poll(body)
         if path == "/run-stop":
             return self.stop(body)
-        if self.mode["busy"]:
+        name = (body["task"], body["attempt"])
+        if self.mode["busy"] or name == self.cut:
             return self.reply(503)
-        return self.start(body)
+        answer = self.start(body)
+        if self.mode["cut"]:
+            self.mode["cut"], self.cut = 0, name
+            raise Drop()
+        return answer
 
     async def execute_unanswered(self, path, body, meant):
         await asyncio.sleep(self.mode["late_s"])
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -584,6 +584,18 @@
             c.agents[0].resume()
         self.under_load(fault)
 
+    # Guards against a start that is said not to have run, and is ordered again,
+    # because its repetition was refused: the HTTP client sends a request again
+    # if its connection, used before, ends without an answer.
+    def test_a_start_whose_repetition_is_refused_is_not_run_twice(self):
+        c = self.ready(entries=1, agents=2)
+        for _ in range(8):
+            self.assertEqual(c.submit(0, job(count=4, run_ms=20))[0], 200)
+        for m in c.minions:
+            c.set_mode(m, cut=1)
+        self.assertEqual(c.submit(0, job(run_ms=400))[0], 200)
+        self.check_rules(c)
+
     def test_minion_killed(self):
         self.under_load(lambda c: c.kill_minion(0))
 
