--- a/include/lagoonvale/runtracker.h
+++ b/include/lagoonvale/runtracker.h
@@ -185,6 +185,9 @@
                         const struct rtk_listed_run *running, unsigned count,
                         uint64_t asked_ns, uint64_t now_ns);
 
+/** rtk_job_of() - name of the job of @task, which is named "JOB.INDEX". */
+struct lv_slice rtk_job_of (struct lv_slice task);
+
 /** rtk_any_start_open() - whether the minion may still begin a run that was
  * ordered: its start has no answer, and no stop of it has one. */
 bool rtk_any_start_open (const struct rtk_tracker *t);
--- a/src/crashlog.c
+++ b/src/crashlog.c
@@ -77,15 +77,6 @@
   return task;
 }
 
-/* Name of the job of TASK, which is followed by a dot and the index.  */
-static struct lv_slice
-job_of (struct lv_slice task)
-{
-  while (task.len > 0 && task.data[task.len - 1] != '.')
-    task.len--;
-  return task;
-}
-
 static uint64_t
 youngest_age (const struct crl_run *runs, unsigned count)
 {
@@ -126,7 +117,7 @@
 
   for (i = 0; i < at; i++)
     if (blamed[i]
-        && lv_slice_eq (job_of (runs[i].task), job_of (runs[at].task)))
+        && lv_slice_eq (rtk_job_of (runs[i].task), rtk_job_of (runs[at].task)))
       return true;
   return false;
 }
--- a/src/runner_runs.c
+++ b/src/runner_runs.c
@@ -128,24 +128,12 @@
          || how == RTK_STALLED;
 }
 
-/* Name of the job of RUN, whose task name is "JOB.INDEX".  */
-static struct lv_slice
-job_of (const struct rtk_run *run)
-{
-  const char *dot = strrchr (run->name, '.');
-  struct lv_slice job = lv_slice_of (run->name);
-
-  if (dot != NULL)
-    job.len = (size_t)(dot - run->name);
-  return job;
-}
-
 static void
 record_health (struct rnr_runner *r, const struct rtk_run *run,
                enum rtk_outcome how, uint32_t ran_ms)
 {
   struct mnh_health *h = &r->minion.health;
-  struct mnh_run record = { .job = job_of (run),
+  struct mnh_run record = { .job = rtk_job_of (lv_slice_of (run->name)),
                             .queue = lv_slice_of (run->queue),
                             .succeeded = how == RTK_DONE,
                             .expected_failure = run->expected_failure,
--- a/src/runtracker.c
+++ b/src/runtracker.c
@@ -226,6 +226,19 @@
   }
 }
 
+struct lv_slice
+rtk_job_of (struct lv_slice task)
+{
+  struct lv_slice job = task;
+
+  while (job.len > 0 && job.data[job.len - 1] != '.')
+    job.len--;
+  if (job.len == 0)
+    return task;
+  job.len--;
+  return job;
+}
+
 bool
 rtk_any_start_open (const struct rtk_tracker *t)
 {
