Soak: suspensions, starts executed after a crash, starts whose connection is cut

In half of the seeds a pause is a suspension: the daemons are those whose monotonic clock stands still while they are stopped. A generator of its own draws them, so that each seed keeps its earlier faults.

--- a/Makefile
+++ b/Makefile
@@ -178,7 +178,7 @@
 SEED ?= 1
 SOAK_SEEDS = $(SEED) $(shell sed -n 's/^\([0-9]*\):.*/\1/p' tests/soak-seeds.txt)
 soak: deps
-	@$(MAKE) -s all
+	@$(MAKE) -s all $(SUSPENDABLE)
 	@for seed in $(SOAK_SEEDS); do python3 tools/soak.py $$seed || exit 1; done
 
 bench: deps
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -23,6 +23,7 @@
 
 import os
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import cluster  # noqa: E402
 from cluster import wait_until  # noqa: E402
 from platform_cluster import Callers, PlatformCluster, job, queue  # noqa: E402
 
@@ -38,6 +39,10 @@
         self.rng = random.Random(seed)
         # Draws the faults that came later: each seed keeps its earlier ones.
         self.more = random.Random("more %d" % seed)
+        self.newest = random.Random("newest %d" % seed)
+        # In half of the runs a pause is the suspension of an instance.
+        if self.newest.random() < 0.5:
+            cluster.PROGRAMS = os.path.join(cluster.BUILD, "suspendable")
         self.seconds = seconds
         self.c = PlatformCluster(entries=entries, agents=agents, proxy=True)
         self.versions, self.violations, self.schedule = {}, [], []
@@ -65,6 +70,12 @@
             self.schedule.append((at, kind.__name__, kind(),
                                   self.more.uniform(0.3, 6.0)))
             at += self.more.uniform(1.0, 4.0)
+        kinds = [self.late_starts, self.cut_start]
+        at = self.newest.uniform(0.2, 3.0)
+        while at < self.seconds:
+            kind = self.newest.choice(kinds)
+            self.schedule.append((at, kind.__name__, kind(), 0.5))
+            at += self.newest.uniform(2.0, 6.0)
         self.schedule.sort(key=lambda fault: fault[0])
 
     def start_again(self, p):
@@ -152,6 +163,18 @@
             self.c.submit(entry, body, wait_ms=4000)
         return send, lambda: None
 
+    def late_starts(self):
+        """Starts without an answer, which are executed after the minion has
+        crashed and is back."""
+        m = self.newest.choice(self.c.minions)
+        late_s = self.newest.uniform(3.4, 5.0)
+        return (lambda: self.set_minion(m, share=1, late_s=late_s),
+                lambda: self.set_minion(m, share=0, crash=1))
+
+    def cut_start(self):
+        m = self.newest.choice(self.c.minions)
+        return lambda: self.set_minion(m, cut=1), lambda: None
+
     def narrow_link(self):
         i = self.more.randrange(len(self.c.entries))
         rate = self.more.choice([30000, 250000])
