--- a/Makefile
+++ b/Makefile
@@ -221,5 +221,5 @@
 	  -max_total_time=$(FUZZ_SECONDS) -print_final_stats=1 -verbosity=0 build-fuzz/corpus
 
 # Each mechanism taken out in turn; the test of its promise must fail.
-mutants: all $(B)/unit $(B)/model
+mutants: all $(B)/unit $(B)/model $(SUSPENDABLE)
 	python3 tests/mutants.py
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -92,6 +92,27 @@
     ("malformed-listing-taken", "platform/pfm_minion.c",
      "      listing.result.answer = MNN_UNANSWERED;", "",
      "Failures.test_minion_answers_with_malformed_lists"),
+    ("report-as-old-as-its-receipt", "src/runner_minion.c",
+     "  struct mck_stamp stamp = m->reported;\n",
+     "  struct mck_stamp stamp = m->reported;\n\n"
+     "  stamp.written_ms = 0;\n",
+     "Capacity.test_a_report_that_was_read_late"),
+    ("start-for-any-process", "platform/pfm_minion.c",
+     "  if (lease->process[0] != '\\0')", "  if (false)",
+     "LateStarts"),
+    ("start-repeated", "platform/pfm_minion.c",
+     "  hcl_forbid_repeat (request);\n", "",
+     "test_a_start_whose_repetition_is_refused"),
+    ("ages-by-a-clock-that-stands-still", "src/clock.h",
+     "clock_gettime (CLOCK_BOOTTIME, &t)",
+     "clock_gettime (CLOCK_MONOTONIC, &t)",
+     "test_a_start_that_waited_at_a_suspended_agent"),
+    ("directory-read-once", "src/directory.c",
+     "  if (listed)\n    {\n      d->next_read_ns",
+     "  if (d->self.len > 0)\n    {\n"
+     "      if (!listed)\n        d->ops->add (d->self, d->ops_priv);\n"
+     "      d->next_read_ns",
+     "unit"),
 ]
 
 
@@ -114,7 +135,7 @@
                         os.path.join(copy, "build"))
         mutate(copy, name, path, old, new)
         subprocess.run(["make", "-s", "-j4", "all", "build/unit",
-                        "build/model"], cwd=copy, check=True,
+                        "build/model", "suspendable"], cwd=copy, check=True,
                        capture_output=True)
         argv = ([os.path.join(copy, "build", "unit"), "--gtest_brief=1"]
                 if test == "unit" else
