Timers do not follow the time of day, in entries and agents either

What callers would see: nothing works for an hour, if an instance's time of day is set back by one.

Cause: the ticks of entries and agents, their retries and those of the log, and the tick of every HTTP server were timers of tevent, which keep the time of day. When that goes back they stand still: no heartbeats, no retries.

Mend: tck_start() for ticks, tck_once() for retries; timeouts of HTTP requests are looked at each tick.

Test: the daemons of test_suspended can have their time of day set back by an hour (SIGUSR2).

--- a/Makefile
+++ b/Makefile
@@ -77,7 +77,7 @@
 # The daemons with the clock of an instance that can be suspended, for tests.
 DAEMONS = entry agent dispatcher runner
 SUSPENDABLE = $(DAEMONS:%=$(B)/suspendable/lagoonvale-%)
-SUSPENDABLE_CLOCK = $(B)/tests/process/suspendable.o
+SUSPENDABLE_CLOCK = $(B)/tests/process/vm_clock.o
 $(B)/suspendable/lagoonvale-entry $(B)/suspendable/lagoonvale-agent: \
   $(B)/suspendable/lagoonvale-%: $(B)/daemons/%_main.o $(SUSPENDABLE_CLOCK) \
   $(B)/liblagoonvale.a
--- a/src/agent.c
+++ b/src/agent.c
@@ -9,6 +9,7 @@
 #include "entropy.h"
 #include "logline.h"
 #include "net.h"
+#include "tick.h"
 #include "xtalloc.h"
 
 #define TICK_MS 100
@@ -125,26 +126,13 @@
   ros_expire (&a->roster, now_ms - 4 * a->set.window_s * 1000);
 }
 
-static void tick (struct tevent_context *ev, struct tevent_timer *te,
-                  struct timeval at, void *priv);
-
 static void
-schedule_tick (struct agt_agent *a)
-{
-  xtalloc_check (tevent_add_timer (
-      a->ev, a->ev, tevent_timeval_current_ofs (0, TICK_MS * 1000), tick, a));
-}
-
-static void
-tick (struct tevent_context *ev, struct tevent_timer *te, struct timeval at,
-      void *priv)
+tick (void *priv)
 {
   struct agt_agent *a = priv;
   uint64_t now = clk_boot ();
 
-  (void)ev;
-  (void)te;
-  (void)at;
+  hcl_process_timeouts (a->client);
   if (clk_since (now, a->last_tick_ns) > AGT_PAUSE_NS)
     agt_drop_sessions (a, "this process was paused");
   a->last_tick_ns = now;
@@ -156,7 +144,6 @@
   agt_worker_tick (a, now);
   update_gauges (a);
   log_flush ();
-  schedule_tick (a);
 }
 
 static int
@@ -216,7 +203,10 @@
     return err_set (err, rc, "start", a->set.listen, "cannot listen: %s",
                     strerror (-rc));
   agt_member_open (a);
-  schedule_tick (a);
+  rc = tck_start (ev, ev, TICK_MS, tick, a);
+  if (rc != 0)
+    return err_set (err, rc, "timer", a->set.name, "cannot start: %s",
+                    strerror (-rc));
   log_line (LOGL_INFO, "started",
             "incarnation=%016" PRIx64 " domain=%s listen=%s slots=%" PRIu64,
             a->incarnation, a->set.domain, a->set.listen, a->set.slots);
--- a/src/entry.c
+++ b/src/entry.c
@@ -14,6 +14,7 @@
 #include "entropy.h"
 #include "logline.h"
 #include "net.h"
+#include "tick.h"
 #include "xtalloc.h"
 
 #define TICK_MS 50
@@ -178,16 +179,6 @@
   ctr_set_gauge (&e->counters, ENT_RPC_CALLS, onc_calls_sent ());
 }
 
-static void tick (struct tevent_context *ev, struct tevent_timer *te,
-                  struct timeval at, void *priv);
-
-static void
-next_tick (struct ent_entry *e)
-{
-  xtalloc_check (tevent_add_timer (
-      e->ev, e->ev, tevent_timeval_current_ofs (0, TICK_MS * 1000), tick, e));
-}
-
 /* During a pause, others may have adopted submissions minted before it.  */
 static void
 detect_pause (struct ent_entry *e, uint64_t now_ns)
@@ -212,15 +203,12 @@
 }
 
 static void
-tick (struct tevent_context *ev, struct tevent_timer *te, struct timeval at,
-      void *priv)
+tick (void *priv)
 {
   struct ent_entry *e = priv;
   uint64_t now = clk_boot ();
 
-  (void)ev;
-  (void)te;
-  (void)at;
+  hcl_process_timeouts (e->client);
   detect_pause (e, now);
   ent_link_tick (e, now);
   ent_peer_tick (e, now);
@@ -236,7 +224,6 @@
   update_gauges (e);
   ent_schedule_dispatch (e);
   log_flush ();
-  next_tick (e);
 }
 
 static void
@@ -336,6 +323,8 @@
 ent_start (struct ent_entry *e, struct tevent_context *ev,
            const struct ent_settings *settings, struct err_error *err)
 {
+  int rc;
+
   memset (e, 0, sizeof *e);
   e->set = *settings;
   e->ev = ev;
@@ -358,7 +347,10 @@
   if (open_sockets (e, err) != 0)
     return err->code;
   ent_log_open (e);
-  next_tick (e);
+  rc = tck_start (ev, ev, TICK_MS, tick, e);
+  if (rc != 0)
+    return err_set (err, rc, "timer", e->set.name, "cannot start: %s",
+                    strerror (-rc));
   log_line (LOGL_INFO, "started",
             "incarnation=%016" PRIx64 " domain=%s http=%s listen=%s policy=%s "
             "order=%s",
--- a/src/entry_adopt.c
+++ b/src/entry_adopt.c
@@ -10,6 +10,7 @@
 #include "entry_parts.h"
 #include "logline.h"
 #include "wire.h"
+#include "tick.h"
 #include "xtalloc.h"
 
 #define RETRY_MS 100
@@ -31,7 +32,7 @@
   struct ent_record *rec;
   struct adp_adoption core;
   struct started *started; /* one for each agent */
-  struct tevent_timer *retry;
+  struct tck_timer *retry;
   uint64_t deadline_ns;
 };
 
@@ -213,14 +214,10 @@
 }
 
 static void
-on_retry_timer (struct tevent_context *ev, struct tevent_timer *te,
-                struct timeval at, void *priv)
+on_retry_timer (void *priv)
 {
   struct ent_adoption *a = priv;
 
-  (void)ev;
-  (void)te;
-  (void)at;
   a->retry = NULL;
   send_fences (a);
 }
@@ -249,9 +246,7 @@
         adp_set_unavailable (&a->core, i);
   /* After a preemption the timer of the earlier fences is still running.  */
   TALLOC_FREE (a->retry);
-  a->retry = xtalloc_check (tevent_add_timer (
-      e->ev, a, tevent_timeval_current_ofs (0, RETRY_MS * 1000),
-      on_retry_timer, a));
+  a->retry = tck_once (a, e->ev, RETRY_MS, on_retry_timer, a);
   if (adp_next (&a->core) == ADP_UNCERTAIN)
     fail_uncertain (a, "owner_gone");
 }
--- a/src/entry_bind.c
+++ b/src/entry_bind.c
@@ -6,6 +6,7 @@
 #include "entry_parts.h"
 #include "logline.h"
 #include "wire.h"
+#include "tick.h"
 #include "xtalloc.h"
 
 #define RETRY_MS 50
@@ -20,7 +21,7 @@
   unsigned confirmed; /* homes that rule out an earlier binding */
   bool call_pending;
   uint64_t deadline_ns;
-  struct tevent_timer *timer;
+  struct tck_timer *timer;
 };
 
 struct bind_call
@@ -53,14 +54,10 @@
 }
 
 static void
-on_retry_timer (struct tevent_context *ev, struct tevent_timer *te,
-                struct timeval at, void *priv)
+on_retry_timer (void *priv)
 {
   struct ent_binding *b = priv;
 
-  (void)ev;
-  (void)te;
-  (void)at;
   b->timer = NULL;
   bind_next_home (b);
 }
@@ -74,9 +71,7 @@
       fail_bind (b, code, detail);
       return;
     }
-  b->timer = xtalloc_check (tevent_add_timer (
-      b->rec->entry->ev, b, tevent_timeval_current_ofs (0, RETRY_MS * 1000),
-      on_retry_timer, b));
+  b->timer = tck_once (b, b->rec->entry->ev, RETRY_MS, on_retry_timer, b);
 }
 
 static void
--- a/src/logtail.c
+++ b/src/logtail.c
@@ -6,6 +6,7 @@
 
 #include "clock.h"
 #include "jsonx.h"
+#include "tick.h"
 #include "xtalloc.h"
 
 #define POLL_WAIT_MS 1000
@@ -36,12 +37,8 @@
 static void poll_stream (struct lgt_tail *tail, bool wait);
 
 static void
-retry_cb (struct tevent_context *ev, struct tevent_timer *te,
-          struct timeval now, void *priv)
+retry (void *priv)
 {
-  (void)ev;
-  (void)te;
-  (void)now;
   poll_stream (priv, true);
 }
 
@@ -51,10 +48,7 @@
   tail->reachable = false;
   tail->retry_ms
       = tail->retry_ms * 2 < RETRY_MAX_MS ? tail->retry_ms * 2 : RETRY_MAX_MS;
-  xtalloc_check (tevent_add_timer (
-      tail->ev, tail,
-      tevent_timeval_current_ofs (0, (uint32_t)tail->retry_ms * 1000 - 1),
-      retry_cb, tail));
+  tck_once (tail, tail->ev, (uint32_t)tail->retry_ms, retry, tail);
 }
 
 static void
--- a/src/web.c
+++ b/src/web.c
@@ -8,6 +8,7 @@
 #include <talloc.h>
 
 #include "net.h"
+#include "tick.h"
 #include "xtalloc.h"
 
 #define CONNECTION_LIMIT 3500U
@@ -90,16 +91,9 @@
 }
 
 static void
-tick_cb (struct tevent_context *ev, struct tevent_timer *te,
-         struct timeval now, void *priv)
+tick (void *priv)
 {
-  struct web_server *s = priv;
-
-  (void)te;
-  (void)now;
-  run_now (s);
-  xtalloc_check (tevent_add_timer (
-      ev, s, tevent_timeval_current_ofs (0, TICK_MS * 1000), tick_cb, s));
+  run_now (priv);
 }
 
 static void
@@ -339,8 +333,14 @@
   info = MHD_get_daemon_info (s->daemon, MHD_DAEMON_INFO_EPOLL_FD);
   xtalloc_check (
       tevent_add_fd (ev, s, info->epoll_fd, TEVENT_FD_READ, ready_cb, s));
-  tick_cb (ev, NULL, tevent_timeval_zero (), s);
-  *rc = 0;
+  *rc = tck_start (s, ev, TICK_MS, tick, s);
+  if (*rc != 0)
+    {
+      MHD_stop_daemon (s->daemon);
+      talloc_free (s);
+      return NULL;
+    }
+  run_now (s);
   return s;
 }
 
--- a/tests/process/suspendable.c
+++ b/tests/process/vm_clock.c
@@ -1,9 +1,12 @@
-/* Linked into the daemons for test_suspended.py: a clock_gettime() whose
-   monotonic clock stands still while the process is stopped by SIGSTOP, as it
-   does while an instance is suspended.  CLOCK_BOOTTIME goes on.  */
+/* Linked into the daemons for test_suspended.py: the clocks of an instance
+   that can be suspended, and whose time of day can be set.  The monotonic
+   clock stands still while the process is stopped by SIGSTOP; CLOCK_BOOTTIME
+   goes on. SIGUSR2 sets the time of day back by an hour.  */
 #include <pthread.h>
+#include <signal.h>
 #include <stdint.h>
 #include <sys/syscall.h>
+#include <sys/time.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -11,7 +14,9 @@
    is a stop.  */
 #define STOPPED_NS 300000000ULL
 #define NS_PER_S 1000000000ULL
+#define SET_BACK_S 3600
 
+static volatile sig_atomic_t set_back_s;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static uint64_t newest_ns;
 static uint64_t stopped_ns;
@@ -32,12 +37,27 @@
   return result;
 }
 
+static void
+set_back (int number)
+{
+  (void)number;
+  set_back_s = SET_BACK_S;
+}
+
+__attribute__ ((constructor)) static void
+install (void)
+{
+  signal (SIGUSR2, set_back);
+}
+
 int
 clock_gettime (clockid_t id, struct timespec *t)
 {
   int rc = (int)syscall (SYS_clock_gettime, id, t);
   uint64_t ns;
 
+  if (rc == 0 && id == CLOCK_REALTIME)
+    t->tv_sec -= set_back_s;
   if (rc != 0 || id != CLOCK_MONOTONIC)
     return rc;
   ns = without_stops ((uint64_t)t->tv_sec * NS_PER_S + (uint64_t)t->tv_nsec);
@@ -45,3 +65,13 @@
   t->tv_nsec = (long)(ns % NS_PER_S);
   return 0;
 }
+
+int
+gettimeofday (struct timeval *t, void *zone)
+{
+  int rc = (int)syscall (SYS_gettimeofday, t, zone);
+
+  if (rc == 0)
+    t->tv_sec -= set_back_s;
+  return rc;
+}
