Mains: one main function for the four daemons

Behaviour is as before: the "started" line follows the opening of the sockets, "stopped" the event loop; entry and agent still read their settings once.

--- a/daemons/agent_main.c
+++ b/daemons/agent_main.c
@@ -1,47 +1,55 @@
 /**
  * DOC: lagoonvale-agent
  *
- * Main program of the agent: arguments, settings, signals, event loop.
+ * Main program of the agent.
  */
-#include <stdlib.h>
-#include <talloc.h>
-
 #include "agent.h"
 #include "daemon.h"
 #include "logline.h"
-#include "xtalloc.h"
+
+static int
+open_agent (void *state, struct tevent_context *ev, const void *settings,
+            struct err_error *err)
+{
+  return agt_start (state, ev, settings, err);
+}
 
 static void
-leave (int number, void *priv)
+leave (int number, void *state)
 {
   (void)number;
-  agt_leave (priv, "signal");
+  agt_leave (state, "signal");
 }
 
 static bool
-done (const void *priv)
+done (const void *state)
+{
+  return agt_done (state);
+}
+
+static void
+finish (void *state)
 {
-  return agt_done (priv);
+  (void)state;
+  log_line (LOGL_INFO, "stopped", "why=left");
 }
 
 int
 main (int argc, char **argv)
 {
   static struct agt_agent agent;
+  static const struct dmn_daemon daemon
+      = { .program = "lagoonvale-agent",
+          .role = "agent",
+          .keys = agt_keys,
+          .settings_size = sizeof (struct agt_settings),
+          .name_offset = offsetof (struct agt_settings, name),
+          .level_offset = offsetof (struct agt_settings, log_level),
+          .open = open_agent,
+          .leave = leave,
+          .done = done,
+          .finish = finish };
   struct agt_settings settings = { 0 };
-  struct err_error err;
-  struct tevent_context *ev = xtalloc_check (tevent_context_init (NULL));
-  int rc = dmn_load_settings (argc, argv, "lagoonvale-agent", ev, agt_keys,
-                              &settings);
 
-  if (rc >= 0)
-    return rc;
-  if (log_init ("agent", settings.name, settings.log_level) != 0)
-    return dmn_report_bad_level (settings.log_level);
-  if (agt_start (&agent, ev, &settings, &err) != 0)
-    return dmn_report_error (&err);
-  dmn_run (ev, leave, done, &agent);
-  log_line (LOGL_INFO, "stopped", "why=left");
-  log_flush ();
-  return EXIT_SUCCESS;
+  return dmn_main (argc, argv, &daemon, &settings, &agent);
 }
--- a/daemons/entry_main.c
+++ b/daemons/entry_main.c
@@ -1,48 +1,55 @@
 /**
  * DOC: lagoonvale-entry
  *
- * Main program of the entry: arguments, settings, signals, event loop.
+ * Main program of the entry.
  */
-#include <stdlib.h>
-#include <talloc.h>
-
 #include "daemon.h"
 #include "entry.h"
 #include "logline.h"
-#include "xtalloc.h"
+
+static int
+open_entry (void *state, struct tevent_context *ev, const void *settings,
+            struct err_error *err)
+{
+  return ent_start (state, ev, settings, err);
+}
 
 static void
-leave (int number, void *priv)
+leave (int number, void *state)
 {
   (void)number;
-  ent_leave (priv);
+  ent_leave (state);
 }
 
 static bool
-done (const void *priv)
+done (const void *state)
+{
+  return ent_done (state);
+}
+
+static void
+finish (void *state)
 {
-  return ent_done (priv);
+  ent_finish (state);
+  log_line (LOGL_INFO, "stopped", "why=left");
 }
 
 int
 main (int argc, char **argv)
 {
   static struct ent_entry entry;
+  static const struct dmn_daemon daemon
+      = { .program = "lagoonvale-entry",
+          .role = "entry",
+          .keys = ent_keys,
+          .settings_size = sizeof (struct ent_settings),
+          .name_offset = offsetof (struct ent_settings, name),
+          .level_offset = offsetof (struct ent_settings, log_level),
+          .open = open_entry,
+          .leave = leave,
+          .done = done,
+          .finish = finish };
   struct ent_settings settings = { 0 };
-  struct err_error err;
-  struct tevent_context *ev = xtalloc_check (tevent_context_init (NULL));
-  int rc = dmn_load_settings (argc, argv, "lagoonvale-entry", ev, ent_keys,
-                              &settings);
 
-  if (rc >= 0)
-    return rc;
-  if (log_init ("entry", settings.name, settings.log_level) != 0)
-    return dmn_report_bad_level (settings.log_level);
-  if (ent_start (&entry, ev, &settings, &err) != 0)
-    return dmn_report_error (&err);
-  dmn_run (ev, leave, done, &entry);
-  ent_finish (&entry);
-  log_line (LOGL_INFO, "stopped", "why=left");
-  log_flush ();
-  return EXIT_SUCCESS;
+  return dmn_main (argc, argv, &daemon, &settings, &entry);
 }
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -5,41 +5,10 @@
 #include <signal.h>
 #include <stdio.h>
 
+#include "logline.h"
+#include "reload.h"
 #include "xtalloc.h"
 
-struct signal_handler
-{
-  void (*leave) (int number, void *priv);
-  void *priv;
-};
-
-static void
-on_signal (struct tevent_context *ev, struct tevent_signal *se, int number,
-           int count, void *info, void *priv)
-{
-  const struct signal_handler *h = priv;
-
-  (void)ev;
-  (void)se;
-  (void)count;
-  (void)info;
-  h->leave (number, h->priv);
-}
-
-void
-dmn_run (struct tevent_context *ev, void (*leave) (int number, void *priv),
-         bool (*done) (const void *priv), void *priv)
-{
-  struct signal_handler *h = xtalloc_zero (ev, struct signal_handler);
-
-  h->leave = leave;
-  h->priv = priv;
-  xtalloc_check (tevent_add_signal (ev, h, SIGTERM, 0, on_signal, h));
-  xtalloc_check (tevent_add_signal (ev, h, SIGINT, 0, on_signal, h));
-  while (!done (priv))
-    tevent_loop_once (ev);
-}
-
 int
 dmn_report_error (const struct err_error *err)
 {
@@ -48,8 +17,8 @@
   return err->code == -EINVAL ? DMN_USAGE : DMN_FAILED;
 }
 
-int
-dmn_report_bad_level (const char *level)
+static int
+report_bad_level (const char *level)
 {
   fprintf (stderr,
            "error: key log.level: found %s, expected error, warn, info or "
@@ -77,8 +46,10 @@
   return -1;
 }
 
-int
-dmn_load_settings (int argc, char **argv, const char *program, void *mem_ctx,
+/* Process the arguments and load the settings file into OUT.  Return: -1 to
+   continue, or the exit code.  */
+static int
+process_arguments (int argc, char **argv, const char *program, void *mem_ctx,
                    const struct set_key *keys, void *out)
 {
   struct arg_lit *help = arg_lit0 ("h", "help", "print this help");
@@ -92,7 +63,6 @@
   int errors = arg_parse (argc, argv, table);
   int rc;
 
-  signal (SIGPIPE, SIG_IGN);
   if (help->count > 0)
     {
       printf ("Usage: %s", program);
@@ -118,3 +88,71 @@
   arg_freetable (table, sizeof table / sizeof table[0]);
   return rc;
 }
+
+struct signal_handler
+{
+  void (*leave) (int number, void *state);
+  void *state;
+};
+
+static void
+on_signal (struct tevent_context *ev, struct tevent_signal *se, int number,
+           int count, void *info, void *priv)
+{
+  const struct signal_handler *h = priv;
+
+  (void)ev;
+  (void)se;
+  (void)count;
+  (void)info;
+  h->leave (number, h->state);
+}
+
+/* Run the event loop until the daemon is done.  */
+static void
+run (struct tevent_context *ev, const struct dmn_daemon *daemon, void *state)
+{
+  struct signal_handler *h = xtalloc_zero (ev, struct signal_handler);
+
+  h->leave = daemon->leave;
+  h->state = state;
+  xtalloc_check (tevent_add_signal (ev, h, SIGTERM, 0, on_signal, h));
+  xtalloc_check (tevent_add_signal (ev, h, SIGINT, 0, on_signal, h));
+  while (!daemon->done (state))
+    tevent_loop_once (ev);
+}
+
+static const char *
+text_at (const void *settings, size_t offset)
+{
+  return *(char *const *)((const char *)settings + offset);
+}
+
+int
+dmn_main (int argc, char **argv, const struct dmn_daemon *daemon,
+          void *settings, void *state)
+{
+  struct tevent_context *ev = xtalloc_check (tevent_context_init (NULL));
+  const char *level;
+  struct err_error err;
+  int rc;
+
+  signal (SIGPIPE, SIG_IGN);
+  rc = process_arguments (argc, argv, daemon->program, ev, daemon->keys,
+                          settings);
+  if (rc >= 0)
+    return rc;
+  level = text_at (settings, daemon->level_offset);
+  if (log_init (daemon->role, text_at (settings, daemon->name_offset), level)
+      != 0)
+    return report_bad_level (level);
+  if (daemon->open (state, ev, settings, &err) != 0)
+    return dmn_report_error (&err);
+  if (daemon->settings_changed != NULL)
+    rld_watch (ev, ev, argv[1], daemon->keys, daemon->settings_size,
+               daemon->settings_changed, state);
+  run (ev, daemon, state);
+  daemon->finish (state);
+  log_flush ();
+  return DMN_OK;
+}
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -6,6 +6,9 @@
 #ifndef LV_DAEMON_H
 #define LV_DAEMON_H
 
+#include <stdbool.h>
+#include <stddef.h>
+
 #include <tevent.h>
 
 #include "error.h"
@@ -25,30 +28,50 @@
 };
 
 /**
- * dmn_load_settings() - process the arguments, load the settings file
+ * struct dmn_daemon - what differs between the mains of the daemons
+ * @program: name of the executable
+ * @role: role in the log
+ * @keys: of the settings file
+ * @settings_size: of the structure that @keys describes, bytes
+ * @name_offset: of the instance's name in it, a char pointer
+ * @level_offset: of the level of the log in it, a char pointer
+ * @open: start with valid settings; on failure @err tells the step
+ * @leave: called at each SIGTERM and SIGINT, with the signal number
+ * @done: whether the event loop has to end
+ * @settings_changed: the settings file has changed and is valid; NULL if the
+ * settings are read at the start only
+ * @finish: called after the event loop
+ */
+struct dmn_daemon
+{
+  const char *program;
+  const char *role;
+  const struct set_key *keys;
+  size_t settings_size;
+  size_t name_offset;
+  size_t level_offset;
+  int (*open) (void *state, struct tevent_context *ev, const void *settings,
+               struct err_error *err);
+  void (*leave) (int number, void *state);
+  bool (*done) (const void *state);
+  void (*settings_changed) (const void *settings, void *state);
+  void (*finish) (void *state);
+};
+
+/**
+ * dmn_main() - main function of a daemon
+ * @settings: structure of @daemon's settings, zeroed
+ * @state: for the functions of @daemon
  *
  * Prints what --help, --version or --check ask for, and errors.  Also ignores
  * SIGPIPE.
  *
- * Return: -1 to continue, or the exit code.
+ * Return: the exit code.
  */
-int dmn_load_settings (int argc, char **argv, const char *program,
-                       void *mem_ctx, const struct set_key *keys, void *out);
-
-/**
- * dmn_run() - run the event loop until @done
- * @leave: called at each SIGTERM and SIGINT, with the signal number
- */
-void dmn_run (struct tevent_context *ev,
-              void (*leave) (int number, void *priv),
-              bool (*done) (const void *priv), void *priv);
+int dmn_main (int argc, char **argv, const struct dmn_daemon *daemon,
+              void *settings, void *state);
 
 /** dmn_report_error() - print an error. Return: the exit code. */
 int dmn_report_error (const struct err_error *err);
 
-/** dmn_report_bad_level() - report an invalid log.level. Return: the exit
- * code.
- */
-int dmn_report_bad_level (const char *level);
-
 #endif
