--- a/src/runner.c
+++ b/src/runner.c
@@ -231,9 +231,13 @@
 void
 rnr_handle_minion_exit (struct rnr_runner *r, struct lv_slice id)
 {
-  if (r->minion.id[0] != '\0' && !lv_slice_eq (id, lv_slice_of (r->minion.id)))
+  bool former = r->minion.id[0] != '\0'
+                && !lv_slice_eq (id, lv_slice_of (r->minion.id));
+
+  log_line (LOGL_INFO, "minion-left", "runs=%u former=%d",
+            HASH_COUNT (r->tracker.runs), former);
+  if (former)
     return;
-  log_line (LOGL_INFO, "minion-left", "runs=%u", HASH_COUNT (r->tracker.runs));
   r->minion.leaving = true;
   rnr_notify_entries (r, true);
 }
