--- a/standins/platform_minion.py
+++ b/standins/platform_minion.py
@@ -17,8 +17,8 @@
 
 POST /test/mode sets by query: share (of orders that are executed but not
 answered), late_s (delay after which these are executed), crash=1 (it crashes
-at once), hang=1 (runs make no progress), busy=1 (starts get 503), state=draining, mcores (its capacity from
-now on), refuse=1 (while crashed it refuses connections; otherwise it is
+at once), hang=1 (runs make no progress), busy=1 (starts get 503),
+state=draining, mcores (its capacity from now on), refuse=1 (while crashed it refuses connections; otherwise it is
 silent), mute=1 (no reports), interval_s (time between reports), back_s (its
 clock goes back so far as it crashes), malformed=N (polls get the Nth of
 MALFORMED instead of the lists of runs), cut=1 (the next start is executed, its
--- a/tests/unit/directory_test.cc
+++ b/tests/unit/directory_test.cc
@@ -60,7 +60,7 @@
     for (unsigned i = 0; i < 2; i++)
       {
         Member *m = &members[i];
-        const struct dir_events events = { note_found, never_mind, m };
+        const struct dir_events events = { note_found, always_answers, m };
         m->list = this;
         m->add_ms = add_ms[i];
         dir_init (&m->directory, nullptr, &ops, m, &events,
@@ -123,7 +123,7 @@
     static_cast<Member *> (priv)->found_other = true;
   }
   static bool
-  never_mind (struct lv_slice, void *)
+  always_answers (struct lv_slice, void *)
   {
     return true;
   }
