Dispatcher: an agent that joins again is told to stop the runs of jobs that are gone

The caller sends its job again 1.3 s later, through another entry, and all of its tasks run on two minions at once for 2.2 s.

Cause: the entry drops the job and sends its stops over connections that deliver nothing any more. The agents join again within 50 ms and list the runs, but reconcile() only looked at open tasks that the agent doesn't list, never at listed runs without an open task. The entry goes on confirming the agent's reports, so the runs keep their lease. Ruled out by the logs: that the entry sends no stops; that the agent has forgotten its owner (same incarnation in entry-joined).

Fix: after the answer to a join the entry stops each listed run that belongs to no open task. Works since the agent lists every run and unconfirmed end that this incarnation owns, and since connection and join come in order. It also covers jobs that were cancelled, failed, given up or expired while the agent was away, and runs that were counted as ended by their time.

--- a/src/dispatch_agents.c
+++ b/src/dispatch_agents.c
@@ -1,11 +1,13 @@
 #include "dispatch_parts.h"
 
 #include <errno.h>
+#include <talloc.h>
 #include <utlist.h>
 
 #include "lagoonvale/name.h"
 #include "logline.h"
 #include "wire.h"
+#include "xtalloc.h"
 
 static bool
 never_started (lvp_how how)
@@ -153,6 +155,31 @@
   }
 }
 
+/* Stop the runs in JOIN of agent A that belong to no open task any more: their
+   job has ended, or they were counted as ended, while A was not connected, so
+   that their stop could not be sent or was lost.  */
+static void
+stop_orphans (struct dsp_dispatch *d, struct flt_agent *a,
+              const lvp_join *join)
+{
+  lvp_stop stop = { 0 };
+  u_int i;
+
+  if (join->entry != d->incarnation)
+    return;
+  stop.runs.runs_val = xtalloc_array (NULL, u_quad_t, join->runs.runs_len);
+  for (i = 0; i < join->runs.runs_len; i++)
+    if (jtb_find_run (&d->jobs, join->runs.runs_val[i]) == NULL)
+      stop.runs.runs_val[stop.runs.runs_len++] = join->runs.runs_val[i];
+  if (stop.runs.runs_len > 0)
+    {
+      log_line (LOGL_INFO, "orphans-stopped", "agent=%s runs=%u listed=%u",
+                a->name, stop.runs.runs_len, join->runs.runs_len);
+      dsp_send_stop (a, &stop);
+    }
+  talloc_free (stop.runs.runs_val);
+}
+
 static lvp_report_res
 make_report_res (struct dsp_dispatch *d, lvp_endpoint endpoints[PER_MAX],
                  u_quad_t known)
@@ -198,10 +225,11 @@
             a->name, (unsigned long long)a->incarnation, join.runs.runs_len,
             a->synced, a->accepting, a->total.mcores, a->free.mcores);
   reconcile (d, a, &join);
-  WIR_FREE (lvp_join, &join);
   res.incarnation = d->incarnation;
   res.report = make_report_res (d, endpoints, 0);
   onc_reply (conn, xid, (xdrproc_t)xdr_lvp_join_res, &res);
+  stop_orphans (d, a, &join);
+  WIR_FREE (lvp_join, &join);
   dsp_schedule_placement (d);
 }
 
--- a/src/dispatch_parts.h
+++ b/src/dispatch_parts.h
@@ -109,6 +109,9 @@
  */
 unsigned dsp_list_candidates (struct dsp_dispatch *d, struct lv_slice service,
                               bool confined);
+/** dsp_send_stop() - send @stop to @a, which must be connected.  A stop that
+ * is lost with the connection is made up for at the next join. */
+void dsp_send_stop (struct flt_agent *a, lvp_stop *stop);
 /** dsp_stop_runs() - send stops for all placed tasks of @job. */
 void dsp_stop_runs (struct dsp_dispatch *d, struct jtb_job *job);
 
--- a/src/dispatch_place.c
+++ b/src/dispatch_place.c
@@ -31,6 +31,17 @@
   slg_add (&caller->steps, caller, &step);
 }
 
+void
+dsp_send_stop (struct flt_agent *a, lvp_stop *stop)
+{
+  int rc = onc_call (a->conn, LVP_STOP, (xdrproc_t)xdr_lvp_stop, stop, NULL,
+                     NULL);
+
+  if (rc != 0)
+    log_line (LOGL_WARN, "stop-not-sent", "agent=%s runs=%u code=%d", a->name,
+              stop->runs.runs_len, rc);
+}
+
 void
 dsp_stop_runs (struct dsp_dispatch *d, struct jtb_job *job)
 {
@@ -51,7 +62,7 @@
           && dsp_agent_of (&job->tasks[i]) == a)
         runs[stop.runs.runs_len++] = job->tasks[i].run;
     if (stop.runs.runs_len > 0)
-      onc_call (a->conn, LVP_STOP, (xdrproc_t)xdr_lvp_stop, &stop, NULL, NULL);
+      dsp_send_stop (a, &stop);
     talloc_free (runs);
   }
 }
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -114,6 +114,9 @@
      "clock_gettime (CLOCK_BOOTTIME, &t)",
      "clock_gettime (CLOCK_MONOTONIC, &t)",
      "test_a_start_that_waited_at_a_suspended_agent"),
+    ("orphans-run-on", "src/dispatch_agents.c",
+     "  if (stop.runs.runs_len > 0)", "  if (false)",
+     "test_stops_lost_with_connections"),
     ("directory-read-once", "src/directory.c",
      "  if (listed)\n    {\n      d->next_read_ns",
      "  if (d->self.len > 0)\n    {\n"
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -564,6 +564,26 @@
             c.entries[0].start()
         self.under_load(fault)
 
+    # Guards against stops that are lost with the connections of an entry: its
+    # agents join again at once, and the runs of a job whose caller has left
+    # went on while the caller sent it again.
+    def test_stops_lost_with_connections_are_made_up_for(self):
+        c = self.ready(proxy=True)
+        name, body = "6" * 16, job(count=4, run_ms=3000)
+        call = http_client.HTTPConnection(c.addresses[0]["jobs"])
+        call.request("POST", "/rush/" + name, json.dumps(body),
+                     {"Host": HOST, "X-Deadline-Ms": "9000"})
+        time.sleep(0.3)
+        c.set_fault("entry-0", freeze="all", freeze_way="out")
+        call.close()
+        self.assertTrue(wait_until(
+            lambda: "job-withdrawn job=" + name in c.log_of(c.entries[0]), 0.4,
+            every=0.01))
+        c.set_fault("entry-0", reset=True)
+        time.sleep(RESEND_S)
+        self.assertEqual(c.submit(1, job(count=4, run_ms=100), name)[0], 200)
+        self.check_rules(c)
+
     def test_entry_paused(self):
         def fault(c):
             c.entries[0].pause()
