Runner: the lease is not renewed while runs that were given up are still there

The callers send again after 1.3 s, through another entry: 65 to 85 of 288 tasks run twice.

Cause: 1,162 ms after the last report a lost peer's runs count as ended, with 150 ms for their stops however many there are, and nothing enforced that: the agent renewed the minion's lease with every poll while it stopped run after run over 8 connections, which starts and polls use as well.

Fix: 100 ms after a run was given up (its entry no longer confirms, was replaced, or ordered the stop) the lease is no longer renewed until that run is gone; nor while there are runs of unknown origin, those of a former agent. So runs end by their stops or by the lease, within the time that entries and callers count on. Stops have up to 48 connections of their own, wait unsent for their turn, and are repeated only after the minion's bound (new setting stop_max_ms, from stop_ms) and 10 ms.

Related path, found by a test: a new agent, 0.2 s after the former one was killed, kept its runs alive while it stopped them; their entry starts them elsewhere meanwhile.

--- a/include/lagoonvale/leasebounds.h
+++ b/include/lagoonvale/leasebounds.h
@@ -3,7 +3,8 @@
  *
  * Upper bounds on how long a run can outlive the connections that keep it
  * going.  A run continues while its agent renews the minion's lease, and an
- * agent stops an entry's runs once that entry no longer confirms its reports.
+ * agent stops an entry's runs once that entry no longer confirms its reports;
+ * if it cannot stop them in time it lets the lease expire.
  * An entry that has lost contact with an agent can therefore compute when its
  * runs there have ended.  Pure: no I/O, no clock.
  */
@@ -28,9 +29,13 @@
 #define LBD_LEASE_NS 500000000ULL
 /** The rates of two clocks differ by at most 1/LBD_DRIFT_PARTS. */
 #define LBD_DRIFT_PARTS 40
-/** Allowance for one event loop iteration of the agent plus the time in which
- * the minion stops a run, ns.  */
-#define LBD_REACTION_NS 150000000ULL
+/** Time for which an agent goes on renewing the minion's lease while runs that
+ * were given up are still there, ns.  From then on these end by their stops
+ * or, with all others there, by the lease.  */
+#define LBD_STOP_GRACE_NS 100000000ULL
+/** Allowance for LBD_STOP_GRACE_NS, one event loop iteration of the agent and
+ * the time in which the minion ends a run, ns.  */
+#define LBD_REACTION_NS (LBD_STOP_GRACE_NS + 50000000ULL)
 
 /** Age of an agent's newest answered report from which on it gets no orders,
  * ms: it would refuse them as stale, or soon stop their runs. */
--- a/include/lagoonvale/minion.h
+++ b/include/lagoonvale/minion.h
@@ -52,6 +52,10 @@
   const struct rtk_listed_run *ends;
 };
 
+/** Most unanswered stops at a time: with the other requests they stay below
+ * the 64 connections that a minion accepts. */
+#define MNN_STOPS_MAX 48
+
 /** Longest id of a minion's process, with NUL. */
 #define MNN_ID_MAX 64
 
--- a/include/lagoonvale/runtracker.h
+++ b/include/lagoonvale/runtracker.h
@@ -7,8 +7,10 @@
  * listed.  An unanswered order may still be carried out, so the agent stops
  * that attempt, which the minion does not start once it has acknowledged the
  * stop.  The resources are freed by the first listing without the run that was
- * requested after the acknowledgement.  Pure: times are passed in, stops go to
- * a callback.
+ * requested after the acknowledgement.  A run that was given up may be started
+ * elsewhere after a time that its entry, or a caller, counts on: while it is
+ * still there after LBD_STOP_GRACE_NS, the lease must not be renewed.  Pure:
+ * times are passed in, stops go to a callback.
  */
 #ifndef LV_RUNTRACKER_H
 #define LV_RUNTRACKER_H
@@ -23,8 +25,9 @@
 
 /** Bytes of a task name, with NUL. */
 #define RTK_NAME_MAX 96
-/** Time after which an unanswered stop is repeated, ns. */
-#define RTK_STOP_RETRY_NS 50000000ULL
+/** Allowance for the transfer of a stop and its answer, ns.  An unanswered
+ * stop is repeated this long after the minion should have ended the run.  */
+#define RTK_STOP_TRANSFER_NS 10000000ULL
 
 /** enum rtk_state - state of a run */
 enum rtk_state
@@ -56,6 +59,8 @@
  * @need: resources held; unknown if @owner is 0, which blocks all admission
  * @ordered_ns: when it was added
  * @sent_ns: when the last start or stop was sent, or the stop acknowledged
+ * @stop_waits: its stop is not sent yet, too many others have no answer
+ * @given_up: by its entry, at @given_up_ns
  * @started_ns: when the minion confirmed the start
  * @queue: name of its job's queue, owned by the run, NULL if unknown
  * @expected_failure: failure rate of that queue at all minions, 0 to 1
@@ -74,6 +79,9 @@
   enum rtk_state state;
   uint64_t ordered_ns;
   uint64_t sent_ns;
+  bool stop_waits;
+  bool given_up;
+  uint64_t given_up_ns;
   uint64_t started_ns;
   char *queue;
   double expected_failure;
@@ -100,7 +108,7 @@
 /**
  * struct rtk_events - callbacks of the owner
  * @ended: @run has ended and is about to be freed
- * @stop: send a stop of @run to the minion
+ * @stop: send a stop of @run to the minion; rtk_stop_answered() follows
  */
 struct rtk_events
 {
@@ -109,11 +117,24 @@
   void *priv;
 };
 
+/**
+ * struct rtk_limits - how stops are sent
+ * @stop_ns: longest time that the minion takes for a stop
+ * @stops_max: most unanswered stops at a time
+ */
+struct rtk_limits
+{
+  uint64_t stop_ns;
+  unsigned stops_max;
+};
+
 /** struct rtk_tracker - caller-owned */
 struct rtk_tracker
 {
   void *mem_ctx;
   struct rtk_events events;
+  struct rtk_limits limits;
+  unsigned stops_open; /* sent and not answered yet */
   struct amt_amount total;
   struct amt_amount used;
   uint32_t unknown_runs; /* runs whose need is unknown */
@@ -122,7 +143,8 @@
 
 /** rtk_init() - initialize without runs; the caller sets @total. */
 void rtk_init (struct rtk_tracker *t, void *mem_ctx,
-               const struct rtk_events *events);
+               const struct rtk_events *events,
+               const struct rtk_limits *limits);
 
 /** rtk_finish() - free all runs without calling @ended. */
 void rtk_finish (struct rtk_tracker *t);
@@ -157,12 +179,24 @@
 /** rtk_stop() - stop @run, unless a stop is under way already. */
 void rtk_stop (struct rtk_tracker *t, struct rtk_run *run, uint64_t now_ns);
 
-/** rtk_stop_owner() - stop all runs that @owner has ordered. */
-void rtk_stop_owner (struct rtk_tracker *t, uint64_t owner, uint64_t now_ns);
+/** rtk_give_up() - stop @run, which its entry no longer counts on. */
+void rtk_give_up (struct rtk_tracker *t, struct rtk_run *run, uint64_t now_ns);
 
-/** rtk_mark_stop_acked() - the minion has acknowledged the stop of @run. */
-void rtk_mark_stop_acked (struct rtk_tracker *t, struct rtk_run *run,
-                          uint64_t now_ns);
+/** rtk_give_up_owner() - give up all runs that @owner has ordered. */
+void rtk_give_up_owner (struct rtk_tracker *t, uint64_t owner,
+                        uint64_t now_ns);
+
+/** rtk_may_renew() - whether the lease may be renewed: no run that was given
+ * up has been there for LBD_STOP_GRACE_NS, and none is of unknown origin. */
+bool rtk_may_renew (const struct rtk_tracker *t, uint64_t now_ns);
+
+/**
+ * rtk_stop_answered() - a stop that was sent has its answer, or gets none
+ * @run: that it was for, NULL if it has ended meanwhile
+ * @acked: whether the minion has acknowledged it
+ */
+void rtk_stop_answered (struct rtk_tracker *t, struct rtk_run *run, bool acked,
+                        uint64_t now_ns);
 
 /**
  * rtk_apply_ends() - apply the minion's listing of ended runs
@@ -196,7 +230,8 @@
  */
 void rtk_end_all (struct rtk_tracker *t, enum rtk_outcome outcome);
 
-/** rtk_tick() - repeat unanswered stops; stop stalled runs. */
+/** rtk_tick() - send stops that wait, repeat unanswered ones; stop stalled
+ * runs. */
 void rtk_tick (struct rtk_tracker *t, uint64_t now_ns);
 
 #endif
--- a/src/runner.c
+++ b/src/runner.c
@@ -36,6 +36,10 @@
     "times that the minion was found restarted, or its port closed", false },
   { "lagoonvale_runs_lost_total",
     "runs that ended because the minion was gone", false },
+  { "lagoonvale_leases_withheld_total",
+    "times that the lease was not renewed, since runs given up were not "
+    "stopped in time",
+    false },
   { "lagoonvale_runs", "runs in the book", true },
   { "lagoonvale_free_mcores", "room for further runs", true },
 };
@@ -105,6 +109,7 @@
   rtk_tick (&r->tracker, now);
   rnr_poll_minion (r);
   note_report_age (r);
+  rnr_note_lease (r);
   rnr_offer_probe (r, now);
   rnr_notify_entries (r, r->minion.health_changed);
   r->minion.health_changed = false;
@@ -113,7 +118,7 @@
     {
       struct rnr_session *s;
       DL_FOREACH (r->sessions, s)
-      rtk_stop_owner (&r->tracker, s->incarnation, now);
+      rtk_give_up_owner (&r->tracker, s->incarnation, now);
     }
   ctr_set_gauge (&r->counters, RNR_RUNNING, HASH_COUNT (r->tracker.runs));
   ctr_set_gauge (&r->counters, RNR_FREE_MCORES, left.mcores);
@@ -126,6 +131,7 @@
           void *ops_priv)
 {
   struct rtk_events events = { rnr_run_ended, rnr_send_stop, r };
+  struct rtk_limits limits = { settings->stop_max_ms * CLK_MS, MNN_STOPS_MAX };
 
   memset (r, 0, sizeof *r);
   r->settings = *settings;
@@ -140,7 +146,7 @@
   ftk_init (&r->token, clk_wall_ms ());
   rnw_init (&r->minion.renewal, clk_now (), settings->lease_max_ms * CLK_MS);
   mnh_init (&r->minion.health);
-  rtk_init (&r->tracker, mem_ctx, &events);
+  rtk_init (&r->tracker, mem_ctx, &events, &limits);
   orr_init (&r->order_rates, mem_ctx);
   r->started_ns = clk_boot ();
   ctr_init (&r->counters, descs, RNR_COUNTERS);
--- a/src/runner.h
+++ b/src/runner.h
@@ -30,6 +30,7 @@
  * @seeds: addresses of entries, "IP:PORT"
  * @entries_max: most entries to serve at a time
  * @lease_max_ms: longest lease that the minion grants
+ * @stop_max_ms: longest time that the minion takes for a stop
  * @report_max_age_ms: age of the minion's last report from which on its
  * capacity is unknown, and it gets no starts
  */
@@ -41,6 +42,7 @@
   struct set_strings seeds;
   uint64_t entries_max;
   uint64_t lease_max_ms;
+  uint64_t stop_max_ms;
   uint64_t report_max_age_ms;
 };
 
@@ -62,6 +64,7 @@
   RNR_SILENCES,
   RNR_CRASHES,
   RNR_LOST,
+  RNR_LEASES_WITHHELD,
   RNR_RUNNING,
   RNR_FREE_MCORES,
   RNR_COUNTERS
@@ -100,9 +103,12 @@
   uint64_t alive_ns; /* clk_boot() at its last answer to any call */
   struct mck_clock clock;
   struct rnw_renewal renewal;
-  struct mnh_health health; /* times by clk_boot() */
-  bool health_changed;      /* since entries were told */
-  uint64_t ends_through;    /* highest number of the ends received */
+  uint64_t lease_expires_ms; /* by the minion's clock, of the last lease asked
+                                for; 0: none of this process */
+  bool lease_withheld;       /* as logged last */
+  struct mnh_health health;  /* times by clk_boot() */
+  bool health_changed;       /* since entries were told */
+  uint64_t ends_through;     /* highest number of the ends received */
   uint64_t poll_sent_ns;
   uint64_t poll_answered_ns;
   bool poll_pending;
--- a/src/runner_entries.c
+++ b/src/runner_entries.c
@@ -87,7 +87,7 @@
                                                stop.runs.runs_val[i]);
 
       if (run != NULL)
-        rtk_stop (&r->tracker, run, clk_boot ());
+        rtk_give_up (&r->tracker, run, clk_boot ());
     }
   WIR_FREE (lvp_stop, &stop);
 }
@@ -161,7 +161,7 @@
       return;
     }
   if (s->incarnation != 0 && s->incarnation != out.incarnation)
-    rtk_stop_owner (&s->runner->tracker, s->incarnation, clk_boot ());
+    rtk_give_up_owner (&s->runner->tracker, s->incarnation, clk_boot ());
   observe_recovery (s);
   s->incarnation = out.incarnation;
   s->joined = true;
@@ -287,7 +287,7 @@
   /* The entry has not confirmed its runs in time: they must have stopped
      before it assumes that they have ended.  */
   if (s->incarnation != 0 && !lbd_is_fresh (s->confirmed_ns, now_ns))
-    rtk_stop_owner (&s->runner->tracker, s->incarnation, now_ns);
+    rtk_give_up_owner (&s->runner->tracker, s->incarnation, now_ns);
 }
 
 void
--- a/src/runner_minion.c
+++ b/src/runner_minion.c
@@ -12,6 +12,14 @@
 #define ABSENT_POLL_NS (100 * CLK_MS)
 /* Time from the decision to send a start until the minion has it, ms.  */
 #define START_MS 100
+/* While the lease may not be renewed, a start needs so much of it, ns.  */
+#define LEASE_LEFT_NS (LBD_LEASE_NS / 2)
+
+static unsigned long long
+lease_left_ms (const struct rnr_runner *r)
+{
+  return clk_since (r->minion.renewal.expires_ns, clk_now ()) / CLK_MS;
+}
 
 uint64_t
 rnr_report_age_ms (const struct rnr_runner *r)
@@ -31,6 +39,42 @@
   return rnr_report_age_ms (r) + START_MS > r->settings.report_max_age_ms;
 }
 
+/* Whether the minion's lease may be renewed.  A former agent's runs, and those
+   that were given up, may be started elsewhere once it should have expired. */
+static bool
+may_renew (const struct rnr_runner *r)
+{
+  return r->minion.runs_known && rtk_may_renew (&r->tracker, clk_boot ());
+}
+
+/* Whether a start has a lease to run under: one that can be renewed, or most
+   of the last one.  */
+static bool
+has_lease (const struct rnr_runner *r)
+{
+  const struct rnr_minion *m = &r->minion;
+  uint64_t now_ms = mck_now_ms (&m->clock, clk_now ());
+
+  return may_renew (r)
+         || m->lease_expires_ms >= now_ms + LEASE_LEFT_NS / CLK_MS;
+}
+
+void
+rnr_note_lease (struct rnr_runner *r)
+{
+  struct rnr_minion *m = &r->minion;
+  bool withheld = m->incarnation != 0 && !may_renew (r);
+
+  if (withheld == m->lease_withheld)
+    return;
+  m->lease_withheld = withheld;
+  ctr_add (&r->counters, RNR_LEASES_WITHHELD, withheld);
+  log_line (LOGL_INFO, withheld ? "lease-withheld" : "lease-renewed",
+            "runs=%u unknown=%u stops_open=%u lease_left_ms=%llu",
+            HASH_COUNT (r->tracker.runs), r->tracker.unknown_runs,
+            r->tracker.stops_open, lease_left_ms (r));
+}
+
 bool
 rnr_accepting (const struct rnr_runner *r, uint64_t now_ns)
 {
@@ -38,7 +82,8 @@
 
   return !r->leaving && !m->leaving && m->runs_known && m->incarnation != 0
          && m->report_incarnation == m->incarnation && !rnr_report_outdated (r)
-         && clk_since (now_ns, m->poll_answered_ns) < RNR_MINION_TIMEOUT_NS;
+         && clk_since (now_ns, m->poll_answered_ns) < RNR_MINION_TIMEOUT_NS
+         && has_lease (r);
 }
 
 struct mnn_lease
@@ -51,11 +96,14 @@
 
   if (lease_ns > r->settings.lease_max_ms * CLK_MS)
     lease_ns = r->settings.lease_max_ms * CLK_MS;
-  if (renew && m->clock.value_ms != 0)
+  if (!renew || m->clock.value_ms == 0)
+    return lease;
+  if (may_renew (r))
     {
-      lease.expires_ms = mck_now_ms (&m->clock, now) + lease_ns / CLK_MS;
+      m->lease_expires_ms = mck_now_ms (&m->clock, now) + lease_ns / CLK_MS;
       rnw_requested (&m->renewal, now, lease_ns);
     }
+  lease.expires_ms = m->lease_expires_ms;
   return lease;
 }
 
@@ -92,12 +140,6 @@
             (unsigned long long)r->token.value);
 }
 
-static unsigned long long
-lease_left_ms (const struct rnr_runner *r)
-{
-  return clk_since (r->minion.renewal.expires_ns, clk_now ()) / CLK_MS;
-}
-
 /* End all runs of the process that last answered a poll: it has ended.  One
    that was leaving ended as planned, whatever ran there.  */
 static void
@@ -140,6 +182,7 @@
   mnh_init (&m->health);
   m->health_changed = true;
   m->incarnation = listing->incarnation;
+  m->lease_expires_ms = 0;
   m->ends_through = 0;
   if (m->report_incarnation != listing->incarnation)
     m->leaving = false;
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -186,8 +186,12 @@
 bool rnr_report_outdated (const struct rnr_runner *r);
 /** rnr_accepting() - whether starts are accepted now. */
 bool rnr_accepting (const struct rnr_runner *r, uint64_t now_ns);
+/** rnr_note_lease() - log when the lease is no longer renewed, and when it is
+ * again. */
+void rnr_note_lease (struct rnr_runner *r);
 /** rnr_make_lease() - lease for a request that is about to be sent; without an
- * expiry unless @renew. */
+ * expiry unless @renew, with that of the last one while it may not be renewed.
+ */
 struct mnn_lease rnr_make_lease (struct rnr_runner *r, bool renew);
 /** rnr_record_result() - note clock, fencing token and duration of a call of
  * the minion that has ended. */
--- a/src/runner_runs.c
+++ b/src/runner_runs.c
@@ -53,8 +53,8 @@
   struct rtk_run *run = find_called_run (call);
 
   rnr_record_result (call->runner, result, "stop", call->sent_ns);
-  if (run != NULL && result->answer == MNN_OK)
-    rtk_mark_stop_acked (&call->runner->tracker, run, clk_boot ());
+  rtk_stop_answered (&call->runner->tracker, run, result->answer == MNN_OK,
+                     clk_boot ());
   talloc_free (call);
 }
 
--- a/src/runtracker.c
+++ b/src/runtracker.c
@@ -4,6 +4,7 @@
 #include <talloc.h>
 
 #include "clock.h"
+#include "lagoonvale/leasebounds.h"
 #include "xtalloc.h"
 
 /* A run without progress for this long is stalled, ns: at least five listings
@@ -14,11 +15,12 @@
 
 void
 rtk_init (struct rtk_tracker *t, void *mem_ctx,
-          const struct rtk_events *events)
+          const struct rtk_events *events, const struct rtk_limits *limits)
 {
   memset (t, 0, sizeof *t);
   t->mem_ctx = mem_ctx;
   t->events = *events;
+  t->limits = *limits;
 }
 
 static void
@@ -127,18 +129,39 @@
   end_run (t, run, outcome);
 }
 
+/* Send the stop of RUN, or leave it to wait while too many are unanswered.  */
+static void
+send_stop (struct rtk_tracker *t, struct rtk_run *run, uint64_t now_ns)
+{
+  if (t->stops_open >= t->limits.stops_max)
+    return;
+  t->stops_open++;
+  run->stop_waits = false;
+  run->sent_ns = now_ns;
+  t->events.stop (run, t->events.priv);
+}
+
 void
 rtk_stop (struct rtk_tracker *t, struct rtk_run *run, uint64_t now_ns)
 {
   if (run->state == RTK_STOPPING || run->state == RTK_STOP_ACKED)
     return;
   run->state = RTK_STOPPING;
-  run->sent_ns = now_ns;
-  t->events.stop (run, t->events.priv);
+  run->stop_waits = true;
+  send_stop (t, run, now_ns);
 }
 
 void
-rtk_stop_owner (struct rtk_tracker *t, uint64_t owner, uint64_t now_ns)
+rtk_give_up (struct rtk_tracker *t, struct rtk_run *run, uint64_t now_ns)
+{
+  if (!run->given_up)
+    run->given_up_ns = now_ns;
+  run->given_up = true;
+  rtk_stop (t, run, now_ns);
+}
+
+void
+rtk_give_up_owner (struct rtk_tracker *t, uint64_t owner, uint64_t now_ns)
 {
   struct rtk_run *run;
   struct rtk_run *next;
@@ -146,19 +169,58 @@
   HASH_ITER (hh, t->runs, run, next)
   {
     if (run->owner == owner)
-      rtk_stop (t, run, now_ns);
+      rtk_give_up (t, run, now_ns);
+  }
+}
+
+bool
+rtk_may_renew (const struct rtk_tracker *t, uint64_t now_ns)
+{
+  const struct rtk_run *run;
+
+  if (t->unknown_runs > 0)
+    return false;
+  for (run = t->runs; run != NULL; run = run->hh.next)
+    if (run->given_up
+        && clk_since (now_ns, run->given_up_ns) >= LBD_STOP_GRACE_NS)
+      return false;
+  return true;
+}
+
+static bool
+is_stop_due (const struct rtk_tracker *t, const struct rtk_run *run,
+             uint64_t now_ns)
+{
+  uint64_t retry_ns = t->limits.stop_ns + RTK_STOP_TRANSFER_NS;
+
+  return run->state == RTK_STOPPING
+         && (run->stop_waits || clk_since (now_ns, run->sent_ns) >= retry_ns);
+}
+
+static void
+send_due_stops (struct rtk_tracker *t, uint64_t now_ns)
+{
+  struct rtk_run *run;
+  struct rtk_run *next;
+
+  HASH_ITER (hh, t->runs, run, next)
+  {
+    if (is_stop_due (t, run, now_ns))
+      send_stop (t, run, now_ns);
   }
 }
 
 void
-rtk_mark_stop_acked (struct rtk_tracker *t, struct rtk_run *run,
-                     uint64_t now_ns)
+rtk_stop_answered (struct rtk_tracker *t, struct rtk_run *run, bool acked,
+                   uint64_t now_ns)
 {
-  (void)t;
-  if (run->state != RTK_STOPPING)
-    return;
-  run->state = RTK_STOP_ACKED;
-  run->sent_ns = now_ns;
+  t->stops_open--;
+  if (run != NULL && acked && run->state == RTK_STOPPING)
+    {
+      run->state = RTK_STOP_ACKED;
+      run->sent_ns = now_ns;
+    }
+  send_due_stops (t, now_ns);
 }
 
 void
@@ -277,16 +339,11 @@
 
   HASH_ITER (hh, t->runs, run, next)
   {
-    if (run->state == RTK_STOPPING
-        && clk_since (now_ns, run->sent_ns) >= RTK_STOP_RETRY_NS)
-      {
-        run->sent_ns = now_ns;
-        t->events.stop (run, t->events.priv);
-      }
-    else if (is_stalled (run, now_ns))
+    if (is_stalled (run, now_ns))
       {
         run->stalled = true;
         rtk_stop (t, run, now_ns);
       }
   }
+  send_due_stops (t, now_ns);
 }
--- a/standins/platform_minion.py
+++ b/standins/platform_minion.py
@@ -21,7 +21,8 @@
 state=draining, mcores (its capacity from now on), refuse=1 (while crashed it refuses connections; otherwise it is
 silent), mute=1 (no reports), interval_s (time between reports), back_s (its
 clock goes back so far as it crashes), malformed=N (polls get the Nth of
-MALFORMED instead of the lists of runs), cut=1 (the next start is executed, its
+MALFORMED instead of the lists of runs), stop_ms (time that a stop takes), cut=1
+(the next start is executed, its
 connection is closed without an answer, and if it is sent again it gets 503).
 """
 import asyncio
@@ -61,7 +62,7 @@
         self.mcores, self.log = mcores, open(log, "a", buffering=1)
         self.mode = {"share": 0.0, "late_s": 0.0, "hang": 0, "busy": 0,
                      "refuse": 0, "mute": 0, "back_s": 0.0, "interval_s": 0.5,
-                     "malformed": 0, "cut": 0}
+                     "malformed": 0, "cut": 0, "stop_ms": 0}
         self.cut = None
         self.state, self.acknowledged = "ready", False
         self.ended, self.down = asyncio.Condition(), False
@@ -172,11 +173,13 @@
             self.record("start", run, run.updated)
         return self.reply(200)
 
-    def stop(self, body):
+    async def stop(self, body):
         run = self.runs.get(body["task"])
         self.bar(body["task"], body["attempt"])
         if run is not None and run.attempt <= body["attempt"]:
-            self.end(run, "stopped", time.monotonic())
+            await asyncio.sleep(self.mode["stop_ms"] / 1000)
+            if self.runs.get(body["task"]) is run:
+                self.end(run, "stopped", time.monotonic())
         return self.reply(200)
 
     async def poll(self, body):
@@ -209,7 +212,7 @@
         if path == "/hold":
             return await self.poll(body)
         if path == "/run-stop":
-            return self.stop(body)
+            return await self.stop(body)
         name = (body["task"], body["attempt"])
         if self.mode["busy"] or name == self.cut:
             return self.reply(503)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -117,6 +117,10 @@
     ("orphans-run-on", "src/dispatch_agents.c",
      "  if (stop.runs.runs_len > 0)", "  if (false)",
      "test_stops_lost_with_connections"),
+    ("lease-renewed-for-runs-given-up", "src/runner_minion.c",
+     "  return r->minion.runs_known && rtk_may_renew (&r->tracker, clk_boot ());",
+     "  return true;",
+     "test_many_runs_of_a_killed_agent"),
     ("directory-read-once", "src/directory.c",
      "  if (listed)\n    {\n      d->next_read_ns",
      "  if (d->self.len > 0)\n    {\n"
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -26,6 +26,8 @@
 # site that has the narrowest links.
 NARROW_LINK = 250000
 NARROW_APPLY_S = 4.0
+# A minion may take 50 ms for a stop.
+SLOW_STOP_MS = 45
 # Variants that standins/platform_minion.py knows.
 MALFORMED_LISTS = 9
 # Memory for an entry with 10,000 queues (issue 19), without shared libraries.
@@ -584,6 +586,45 @@
         self.assertEqual(c.submit(1, job(count=4, run_ms=100), name)[0], 200)
         self.check_rules(c)
 
+    def under_many_small_runs(self, fault):
+        """Injects fault() while entry 0 has 144 runs on each of two minions that
+        take long for a stop.  Callers that lose it send their jobs again."""
+        c = self.ready(mcores=64000)
+        for m in c.minions:
+            c.set_mode(m, stop_ms=SLOW_STOP_MS)
+        body = job(count=12, run_ms=5000, mcores=200)
+
+        def call(name):
+            # The body of a call is read within its timeout: none is cut here.
+            if c.submit(0, body, name, wait_ms=9000, timeout=9)[0] == 0:
+                time.sleep(RESEND_S)
+                c.submit(1, body, name, wait_ms=9000, timeout=9)
+        callers = [threading.Thread(target=call, args=("%016x" % i,))
+                   for i in range(24)]
+        for caller in callers:
+            caller.start()
+        self.assertTrue(wait_until(lambda: sum(
+            c.metric(a, "lagoonvale_runs") for a in c.agents) >= 280))
+        fault(c)
+        for caller in callers:
+            caller.join()
+        self.check_rules(c)
+        return c
+
+    # Guards against the runs of a killed entry that are stopped one by one for
+    # longer than its callers wait until they send their jobs again.
+    def test_many_runs_of_a_killed_entry_end_in_time(self):
+        self.under_many_small_runs(lambda c: c.entries[0].kill())
+
+    # Guards against an agent that keeps the runs of the one before it alive while
+    # it stops them, longer than their entry waits until it starts them elsewhere.
+    def test_many_runs_of_a_killed_agent_end_in_time(self):
+        def fault(c):
+            c.agents[0].kill()
+            time.sleep(0.2)
+            c.agents[0].start()
+        self.under_many_small_runs(fault)
+
     def test_entry_paused(self):
         def fault(c):
             c.entries[0].pause()
--- a/tests/unit/dispatch_test.cc
+++ b/tests/unit/dispatch_test.cc
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <set>
 #include <string>
 #include <talloc.h>
 #include <vector>
@@ -92,11 +93,15 @@
 class Runtracker : public testing::Test
 {
 protected:
+  static constexpr uint64_t kStopNs = 50 * kMs;
+  static constexpr uint64_t kRetryNs = kStopNs + RTK_STOP_TRANSFER_NS;
+  static constexpr unsigned kStopsMax = 4;
   void
   SetUp () override
   {
     const struct rtk_events events = { ended, stop, this };
-    rtk_init (&tracker, nullptr, &events);
+    const struct rtk_limits limits = { kStopNs, kStopsMax };
+    rtk_init (&tracker, nullptr, &events, &limits);
     tracker.total = { 8000, 8000, 0 };
   }
   void
@@ -168,7 +173,7 @@
   rtk_mark_started (&tracker, run, 1);
   EXPECT_EQ (rtk_free_amount (&tracker).mcores, 0u);
   rtk_stop (&tracker, run, 2);
-  rtk_mark_stop_acked (&tracker, run, 3);
+  rtk_stop_answered (&tracker, run, true, 3);
   list ({ "a" }, 4, 5);
   EXPECT_EQ (rtk_free_amount (&tracker).mcores, 0u);
   rtk_apply_ends (&tracker, &end, 1);
@@ -196,7 +201,7 @@
       struct rtk_run *run = order ("a");
       rtk_stop (&tracker, run, 10);
       if (c.acked)
-        rtk_mark_stop_acked (&tracker, run, 50);
+        rtk_stop_answered (&tracker, run, true, 50);
       list ({}, c.asked, 200);
       EXPECT_EQ (ends.size (), c.ended ? 1u : 0u) << c.asked;
     }
@@ -227,7 +232,7 @@
       if (c.stopped)
         rtk_stop (&tracker, run, 2);
       if (c.acked)
-        rtk_mark_stop_acked (&tracker, run, 3);
+        rtk_stop_answered (&tracker, run, true, 3);
       EXPECT_EQ (rtk_any_start_open (&tracker), c.open);
     }
 }
@@ -249,7 +254,7 @@
   EXPECT_EQ (stops, std::vector<std::string> ({ "x" }));
   EXPECT_EQ (rtk_free_amount (&tracker).mcores, 0u);
   struct rtk_run *run = rtk_find (&tracker, lv_slice_of ("x"));
-  rtk_mark_stop_acked (&tracker, run, 3);
+  rtk_stop_answered (&tracker, run, true, 3);
   list ({}, 4, 5);
   EXPECT_EQ (rtk_free_amount (&tracker).mcores, 8000u);
 }
@@ -257,12 +262,127 @@
 TEST_F (Runtracker, UnansweredStopIsRepeated)
 {
   rtk_stop (&tracker, order ("a"), 0);
-  rtk_tick (&tracker, RTK_STOP_RETRY_NS - 1);
+  rtk_tick (&tracker, kRetryNs - 1);
   EXPECT_EQ (stops.size (), 1u);
-  rtk_tick (&tracker, RTK_STOP_RETRY_NS);
+  rtk_tick (&tracker, kRetryNs);
   EXPECT_EQ (stops.size (), 2u);
 }
 
+// Guards against a stop that a sound minion answers at its bound, and that
+// counts as unanswered: it was sent again and again, with all others.
+TEST_F (Runtracker, AStopAnsweredAtTheBoundIsNotRepeated)
+{
+  const struct
+  {
+    uint64_t answered_ns;
+    size_t sent;
+  } cases[] = { { kStopNs - kMs, 1 },
+                { kStopNs, 1 },
+                { kStopNs + kMs, 1 },
+                { kRetryNs + kMs, 2 } };
+
+  for (const auto &c : cases)
+    {
+      rtk_finish (&tracker);
+      tracker.stops_open = 0;
+      stops.clear ();
+      struct rtk_run *run = order ("a");
+      rtk_stop (&tracker, run, 0);
+      for (uint64_t now = kMs; now < c.answered_ns; now += kMs)
+        rtk_tick (&tracker, now);
+      rtk_stop_answered (&tracker, run, true, c.answered_ns);
+      rtk_tick (&tracker, c.answered_ns + kRetryNs);
+      EXPECT_EQ (stops.size (), c.sent) << c.answered_ns;
+    }
+}
+
+TEST_F (Runtracker, StopsWaitWhileTooManyAreUnanswered)
+{
+  const char *const names[] = { "a", "b", "c", "d", "e", "f" };
+
+  for (const char *name : names)
+    order (name);
+  rtk_give_up_owner (&tracker, 5, 0);
+  EXPECT_EQ (stops.size (), kStopsMax);
+  rtk_stop_answered (&tracker, rtk_find (&tracker, lv_slice_of ("a")), true,
+                     kMs);
+  EXPECT_EQ (stops.size (), kStopsMax + 1);
+  /* One for a run that has ended, or without an answer, makes room too.  */
+  rtk_stop_answered (&tracker, nullptr, false, 2 * kMs);
+  EXPECT_EQ (stops.size (), kStopsMax + 2);
+  EXPECT_EQ (std::set<std::string> (stops.begin (), stops.end ()).size (),
+             sizeof names / sizeof names[0]);
+}
+
+// Guards against a lease that is renewed for runs that were given up, and that
+// are started elsewhere, while their stops take long.
+TEST_F (Runtracker, TheLeaseIsNotRenewedWhileRunsGivenUpRemain)
+{
+  const uint64_t began = 7 * kMs;
+  const uint64_t bound = began + LBD_STOP_GRACE_NS;
+  const struct
+  {
+    const char *name;
+    bool given_up;
+    bool acked;
+    bool gone;
+    uint64_t at_ns;
+    bool may_renew;
+  } cases[] = {
+    { "running", false, false, false, bound, true },
+    { "being stopped", true, false, false, bound - 1, true },
+    { "too long", true, false, false, bound, false },
+    { "acknowledged, not listed as ended", true, true, false, bound, false },
+    { "gone", true, true, true, bound, true },
+  };
+
+  for (const auto &c : cases)
+    {
+      rtk_finish (&tracker);
+      tracker.stops_open = 0;
+      order ("other", 1000, 6);
+      struct rtk_run *run = order ("a");
+      rtk_mark_started (&tracker, run, 1);
+      rtk_mark_started (&tracker, rtk_find (&tracker, lv_slice_of ("other")),
+                        1);
+      if (c.given_up)
+        rtk_give_up_owner (&tracker, 5, began);
+      /* Given up again: the first time counts.  */
+      if (c.given_up)
+        rtk_give_up (&tracker, run, bound - 1);
+      if (c.acked)
+        rtk_stop_answered (&tracker, run, true, began + kMs);
+      if (c.gone)
+        list ({ "other" }, began + 2 * kMs, began + 3 * kMs);
+      EXPECT_EQ (rtk_may_renew (&tracker, c.at_ns), c.may_renew) << c.name;
+    }
+}
+
+// Guards against an agent that keeps alive the runs of the one before it, which
+// their entries count as ended.
+TEST_F (Runtracker, TheLeaseIsNotRenewedForRunsOfUnknownOrigin)
+{
+  list ({ "x" }, 1, 2);
+  EXPECT_FALSE (rtk_may_renew (&tracker, 3));
+  rtk_stop_answered (&tracker, rtk_find (&tracker, lv_slice_of ("x")), true,
+                     4);
+  list ({}, 5, 6);
+  EXPECT_TRUE (rtk_may_renew (&tracker, 7));
+}
+
+// Guards against a stop that was sent for another reason and hides that the
+// run is given up later.
+TEST_F (Runtracker, ARunThatIsBeingStoppedCanBeGivenUp)
+{
+  struct rtk_run *run = order ("a");
+
+  rtk_stop (&tracker, run, 0);
+  EXPECT_TRUE (rtk_may_renew (&tracker, 10 * LBD_STOP_GRACE_NS));
+  rtk_give_up (&tracker, run, kMs);
+  EXPECT_FALSE (rtk_may_renew (&tracker, kMs + LBD_STOP_GRACE_NS));
+  EXPECT_EQ (stops.size (), 1u);
+}
+
 TEST_F (Runtracker, StalledRunIsStopped)
 {
   const struct
@@ -286,11 +406,11 @@
     }
 }
 
-TEST_F (Runtracker, StopOwnerStopsOnlyItsRuns)
+TEST_F (Runtracker, GivingUpAnOwnerStopsOnlyItsRuns)
 {
   order ("a", 1000, 5);
   order ("b", 1000, 6);
-  rtk_stop_owner (&tracker, 5, 1);
+  rtk_give_up_owner (&tracker, 5, 1);
   EXPECT_EQ (stops, std::vector<std::string> ({ "a" }));
   rtk_end_all (&tracker, RTK_CRASHED);
   EXPECT_EQ (ends.size (), 2u);
--- a/tests/unit/leasechain_test.cc
+++ b/tests/unit/leasechain_test.cc
@@ -1,6 +1,8 @@
 /* Simulation of the chain of leases from entries to minions, at the size of 55
    entries and 240 agents: each pair lives through pauses of both processes,
-   cuts of the link between them and of the agent from its minion.  */
+   cuts of the link between them and of the agent from its minion, and stops
+   that take long.  */
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <gtest/gtest.h>
@@ -20,7 +22,11 @@
 constexpr uint64_t kStep = 5 * kMs;
 constexpr uint64_t kTick = 25 * kMs;
 constexpr uint64_t kPoll = 50 * kMs;
-constexpr uint64_t kStop = 50 * kMs; /* a minion stops a run within this */
+/* Times that the stops of an entry's runs take at their minion.  Each run takes
+   50 ms at most, but there may be many.  */
+constexpr uint64_t kStops[] = { 10 * kMs, 50 * kMs, 200 * kMs, 810 * kMs,
+                                3000 * kMs };
+constexpr uint64_t kNever = UINT64_MAX;
 constexpr uint64_t kEnd = 12000 * kMs;
 constexpr unsigned kEntries = 55, kAgents = 240, kServed = 12;
 
@@ -77,18 +83,38 @@
   /* What the agent believes; the connection begins confirmed.  */
   uint64_t confirmed = kMs, reported = 0, polled = 0;
   bool run = false;
-  /* What the minion does: a run goes on until the lease or a stop ends it.  */
-  uint64_t run_until = 0;
-  unsigned starts = 0, stale = 0, overlaps = 0, requeued = 0;
+  uint64_t given_up = 0;
+  /* What the minion does: a run goes on until the lease or a stop ends it.  The
+     lease is renewed for the runs of other entries, too.  */
+  uint64_t lease_until = 0, stopped_at = kNever, stop_takes;
+  unsigned starts = 0, stale = 0, overlaps = 0, requeued = 0, slow_stops = 0;
 
   explicit Pair (unsigned seed) : random (seed)
   {
+    stop_takes = kStops[random () % (sizeof kStops / sizeof kStops[0])];
     for (Outage *o : { &entry_paused, &agent_paused, &cut, &minion_cut })
       *o = random () % 3 == 0 ? draw (random) : Outage{ 0, 0 };
   }
 
   uint64_t delay () { return (1 + random () % 30) * kMs; }
 
+  uint64_t run_until () const { return std::min (lease_until, stopped_at); }
+
+  bool
+  may_renew (uint64_t now) const
+  {
+    return run || now >= run_until () || now < given_up + LBD_STOP_GRACE_NS;
+  }
+
+  void
+  renew (uint64_t now)
+  {
+    polled = now;
+    if (now >= run_until ())
+      stopped_at = now; /* a run that has ended does not go on */
+    lease_until = lbd_lease_expiry (now, LBD_LEASE_NS);
+  }
+
   void
   step_agent (uint64_t now)
   {
@@ -98,11 +124,12 @@
         confirmed = value;
     while (orders.receive (now, !cut.at (now), &value))
       if (lbd_is_fresh (value, now) && lbd_is_fresh (confirmed, now)
-          && !minion_cut.at (now))
+          && !minion_cut.at (now) && now >= run_until ())
         {
           run = true;
           starts++;
-          run_until = lbd_lease_expiry (now, LBD_LEASE_NS);
+          renew (now);
+          stopped_at = kNever;
         }
       else
         stale++;
@@ -116,14 +143,13 @@
     if (run && !lbd_is_fresh (confirmed, now))
       {
         run = false;
-        if (!minion_cut.at (now) && run_until > now + kStop)
-          run_until = now + kStop;
-      }
-    if (run && !minion_cut.at (now) && now >= polled + kPoll)
-      {
-        polled = now;
-        run_until = lbd_lease_expiry (now, LBD_LEASE_NS);
+        given_up = now;
+        if (!minion_cut.at (now))
+          stopped_at = now + stop_takes;
+        slow_stops += stop_takes > LBD_STOP_GRACE_NS;
       }
+    if (!minion_cut.at (now) && now >= polled + kPoll && may_renew (now))
+      renew (now);
   }
 
   void
@@ -144,7 +170,7 @@
       {
         /* The entry orders the task elsewhere from now on.  */
         requeued++;
-        overlaps += run_until > now;
+        overlaps += run_until () > now;
         ordered = false;
       }
     if (!ordered && !lost && now >= ordered_at + 100 * kMs)
@@ -193,7 +219,7 @@
 // run out, among 2,880 pairs at once.
 TEST (LeaseChain, NoRunOutlivesWhatItsEntryWaitsFor)
 {
-  unsigned starts = 0, stale = 0, overlaps = 0, requeued = 0;
+  unsigned starts = 0, stale = 0, overlaps = 0, requeued = 0, slow_stops = 0;
   for (unsigned a = 0; a < kAgents; a++)
     for (unsigned e : entries_of ("agent-" + std::to_string (a)))
       {
@@ -203,12 +229,14 @@
         stale += pair.stale;
         overlaps += pair.overlaps;
         requeued += pair.requeued;
+        slow_stops += pair.slow_stops;
       }
   EXPECT_EQ (overlaps, 0u);
   /* The outages bring about what the bounds are for.  */
   EXPECT_GT (starts, kAgents * kServed);
   EXPECT_GT (stale, 0u);
   EXPECT_GT (requeued, 0u);
+  EXPECT_GT (slow_stops, 0u);
   RecordProperty ("requeued", requeued);
 }
 }
