Runner: the fencing token rises with each process of the minion

Cause: a late start is kept from the next process by X-Target-Instance, which holds the id. A process of the same id knows neither the fencing token nor the attempts that were barred, and its clock begins anew, so that the start's lease, by the former clock, seems to be far from its end.

Fix: the agent raises its token when it finds that the minion's process has ended: its port is closed, its lease has run out unanswered, or the listing is of another process. The first poll brings the new process the higher token, and what was sent before is refused. Left: the time from the start of a process to its first poll, 100 ms at most.

--- a/include/lagoonvale/fencetoken.h
+++ b/include/lagoonvale/fencetoken.h
@@ -3,7 +3,8 @@
  *
  * Fencing token of a process that keeps nothing: it begins with the time of
  * day, and rises while the minion has seen a higher one, by steps that double,
- * so that a clock that went back by years is made up for in a few calls. Pure.
+ * so that a clock that went back by years is made up for in a few calls.  It
+ * rises with each process of the minion as well.  Pure.
  */
 #ifndef LV_FENCETOKEN_H
 #define LV_FENCETOKEN_H
@@ -33,6 +34,10 @@
  */
 void ftk_refuse (struct ftk_token *t);
 
+/** ftk_raise() - the minion's process has ended: the one that follows must not
+ * execute what is still on its way to the former one. */
+void ftk_raise (struct ftk_token *t);
+
 /** ftk_accept() - the minion has taken it. */
 void ftk_accept (struct ftk_token *t);
 
--- a/src/fencetoken.c
+++ b/src/fencetoken.c
@@ -17,6 +17,13 @@
     t->step *= 2;
 }
 
+void
+ftk_raise (struct ftk_token *t)
+{
+  if (t->value < FTK_MAX)
+    t->value++;
+}
+
 void
 ftk_accept (struct ftk_token *t)
 {
--- a/src/runner_minion.c
+++ b/src/runner_minion.c
@@ -145,6 +145,7 @@
 static void
 end_runs_of_former (struct rnr_runner *r)
 {
+  ftk_raise (&r->token);
   if (r->minion.leaving)
     {
       rtk_end_all (&r->tracker, RTK_LAPSED);
@@ -233,6 +234,7 @@
   if (m->incarnation != 0)
     {
       m->silent_incarnation = m->incarnation;
+      ftk_raise (&r->token);
       r->minion_lost (r, LVP_FATE_SILENT);
     }
   rtk_end_all (&r->tracker, RTK_LAPSED);
--- a/standins/platform_minion.py
+++ b/standins/platform_minion.py
@@ -21,8 +21,8 @@
 state=draining, mcores (its capacity from now on), refuse=1 (while crashed it refuses connections; otherwise it is
 silent), mute=1 (no reports), interval_s (time between reports), back_s (its
 clock goes back so far as it crashes), malformed=N (polls get the Nth of
-MALFORMED instead of the lists of runs), stop_ms (time that a stop takes), cut=1
-(the next start is executed, its
+MALFORMED instead of the lists of runs), stop_ms (time that a stop takes),
+keep_id=1 (it has the same id after a crash), cut=1 (the next start is executed, its
 connection is closed without an answer, and if it is sent again it gets 503).
 """
 import asyncio
@@ -62,7 +62,7 @@
         self.mcores, self.log = mcores, open(log, "a", buffering=1)
         self.mode = {"share": 0.0, "late_s": 0.0, "hang": 0, "busy": 0,
                      "refuse": 0, "mute": 0, "back_s": 0.0, "interval_s": 0.5,
-                     "malformed": 0, "cut": 0, "stop_ms": 0}
+                     "malformed": 0, "cut": 0, "stop_ms": 0, "keep_id": 0}
         self.cut = None
         self.state, self.acknowledged = "ready", False
         self.ended, self.down = asyncio.Condition(), False
@@ -95,7 +95,7 @@
                                    "at": time.monotonic()}) + "\n")
 
     def id(self):
-        return "i-%d" % self.life
+        return "i-%d" % (1 if self.mode["keep_id"] else self.life)
 
     def clock_ms(self):
         return int((time.monotonic() - self.started) * 1000) + 1
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -121,6 +121,9 @@
      "  return r->minion.runs_known && rtk_may_renew (&r->tracker, clk_boot ());",
      "  return true;",
      "test_many_runs_of_a_killed_agent"),
+    ("token-of-the-former-process", "src/fencetoken.c",
+     "  if (t->value < FTK_MAX)\n    t->value++;", "  (void)t;",
+     "LateStarts.test_a_start_meant_for_a_process_of_the_same_id"),
     ("directory-read-once", "src/directory.c",
      "  if (listed)\n    {\n      d->next_read_ns",
      "  if (d->self.len > 0)\n    {\n"
--- a/tests/process/test_crashes.py
+++ b/tests/process/test_crashes.py
@@ -219,9 +219,19 @@
     # Guards against a start that was sent to a minion before it crashed and is
     # executed by the process that follows: the task runs elsewhere by then.
     def test_a_start_meant_for_a_former_process_is_not_executed(self):
-        c = self.crashing_cluster(1, entries=1, agents=2)
+        self.check_late_start(keep_id=0)
+
+    # The same where that process has the id of the former one, so that the id in
+    # the start does not tell them apart.
+    def test_a_start_meant_for_a_process_of_the_same_id_is_not_executed(self):
+        for refuse in (1, 0):
+            with self.subTest(refuse=refuse):
+                self.check_late_start(keep_id=1, refuse=refuse)
+
+    def check_late_start(self, keep_id, refuse=1):
+        c = self.crashing_cluster(refuse, entries=1, agents=2)
         for m in c.minions:
-            c.set_mode(m, share=1, late_s=self.LATE_S)
+            c.set_mode(m, share=1, late_s=self.LATE_S, keep_id=keep_id)
         name = os.urandom(8).hex()
         answers = self.submit_in_background(c, 0, job(run_ms=5000), name,
                                             wait_ms=10000)
--- a/tests/unit/dispatch_test.cc
+++ b/tests/unit/dispatch_test.cc
@@ -928,6 +928,25 @@
     }
 }
 
+// Guards against a start on its way to a process that has ended, and that the
+// one which follows executes.
+TEST (FenceToken, RisesWithEachProcessOfTheMinion)
+{
+  const struct
+  {
+    uint64_t begin;
+    uint64_t raised;
+  } cases[] = { { 0, 1 }, { 1000, 1001 }, { FTK_MAX, FTK_MAX } };
+
+  for (const auto &c : cases)
+    {
+      struct ftk_token token;
+      ftk_init (&token, c.begin);
+      ftk_raise (&token);
+      EXPECT_EQ (token.value, c.raised);
+    }
+}
+
 TEST (FenceToken, AnAcceptedTokenRisesBySmallStepsAgain)
 {
   struct ftk_token t;
