Reports of minions: one odd number no longer makes all later ones look old

Cause: json-c cuts such a number to the highest that it can hold. Sequence numbers are kept as the highest one seen, so that every later report was superseded and the last one became too old to go by. The class: a rising number that is kept, from a writer who may be wrong. Its other places: numbers of ends in a minion's lists (one would acknowledge all later ends), the start of a minion's process, versions of the configuration.

Reports with a port out of range are refused. A number that is far too high but can be read binds only until its report is too old to go by.

--- a/src/jsonx.c
+++ b/src/jsonx.c
@@ -187,6 +187,14 @@
   return text;
 }
 
+bool
+jsx_is_uint (struct json_object *value)
+{
+  return json_object_is_type (value, json_type_int)
+         && json_object_get_int64 (value) >= 0
+         && json_object_get_uint64 (value) <= INT64_MAX;
+}
+
 uint64_t
 jsx_uint (struct json_object *object, const char *name, uint64_t fallback)
 {
--- a/src/jsonx.h
+++ b/src/jsonx.h
@@ -81,7 +81,12 @@
 const char *jsx_string (struct json_object *object, const char *name,
                         const char *fallback);
 
-/** jsx_uint() - member @name if it is a whole number >= 0, else @fallback. */
+/** jsx_is_uint() - whether @value is a whole number from 0 to INT64_MAX;
+ * json-c cuts what is beyond to the nearest number that it can hold. */
+bool jsx_is_uint (struct json_object *value);
+
+/** jsx_uint() - member @name if it is a whole number >= 0, else @fallback;
+ * what is beyond INT64_MAX becomes that, see jsx_is_uint(). */
 uint64_t jsx_uint (struct json_object *object, const char *name,
                    uint64_t fallback);
 
--- a/src/net.c
+++ b/src/net.c
@@ -43,7 +43,7 @@
 {
   struct sockaddr_in parsed;
 
-  if (net_parse (&parsed, text) != 0)
+  if (net_parse (&parsed, text) != 0 || parsed.sin_port == 0)
     return -EINVAL;
   *address = ntohl (parsed.sin_addr.s_addr);
   *port = ntohs (parsed.sin_port);
--- a/src/runner.c
+++ b/src/runner.c
@@ -166,12 +166,16 @@
 
 /* Whether REPORT was delayed and says less than is known: an older one of the
    same process, or one of a former process.  The process that answers polls is
-   never a former one, though its clock may have gone back.  */
+   never a former one, though its clock may have gone back.  A number is not
+   compared with that of a report which no longer counts: it may have been odd,
+   and a delayed report is too old by the minion's clock.  */
 static bool
-is_superseded (const struct rnr_minion *m, const struct mnn_report *report)
+is_superseded (const struct rnr_runner *r, const struct mnn_report *report)
 {
+  const struct rnr_minion *m = &r->minion;
+
   if (report->incarnation == m->report_incarnation)
-    return report->sequence < m->report_sequence;
+    return report->sequence < m->report_sequence && !rnr_report_outdated (r);
   return report->incarnation < m->report_incarnation
          && report->incarnation != m->incarnation;
 }
@@ -210,7 +214,7 @@
                 r->settings.service);
       return false;
     }
-  if (is_superseded (m, report))
+  if (is_superseded (r, report))
     return true;
   news = is_news (r, report);
   if (news)
--- a/standins/platform_minion.py
+++ b/standins/platform_minion.py
@@ -43,7 +43,11 @@
     {"running": [5], "finished": []}, {"running": [["x"]], "finished": []},
     {"running": [[None, 1, "", 5]], "finished": []}, {"finished": []},
     {"running": [], "finished": [7]}, {"running": [], "finished": [[1]]},
-    {"running": {}, "finished": []}, {"running": []}, {}]
+    {"running": {}, "finished": []}, {"running": []}, {},
+    {"running": [], "finished": [[2 ** 70, "x", 1, "done", ""]]},
+    {"running": [["x", 2 ** 64, "", 1]], "finished": []},
+    {"running": [["x", 1, [[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]], 1]],
+     "finished": []}]
 
 
 class Run:
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -5,6 +5,7 @@
 import http.server as http_server
 import json
 import os
+import struct
 import subprocess
 import threading
 import time
@@ -29,7 +30,7 @@
 # A minion may take 50 ms for a stop.
 SLOW_STOP_MS = 45
 # Variants that standins/platform_minion.py knows.
-MALFORMED_LISTS = 9
+MALFORMED_LISTS = 12
 # Memory for an entry with 10,000 queues (issue 19), without shared libraries.
 ENTRY_MEMORY_MB = 12
 
@@ -462,6 +463,33 @@
             0, job(run_ms=5))[0] == 200, 3))
         self.check_rules(c)
 
+    # Guards against one odd entry in the list, by another writer, that ends those
+    # who read it, or keeps them from the others in it.
+    def test_odd_entries_in_the_list_hide_no_other(self):
+        c = self.cluster(entries=2, agents=1, seeds=["127.0.0.1:9"])
+        c.await_ready()
+        nested = "[" * 100 + "]" * 100
+        for key in ("127.0.0.1:65536", "127.0.0.1:0", "127.0.0.1:-1",
+                    "127.0.0.1:99999999999999999999", "256.0.0.1:80", "",
+                    ":", "x", "\x01", nested, "\U0001f600" * 60):
+            for value in ("1", nested, "1e999"):
+                key_bytes = key.encode()
+                content = bytes([len(key_bytes)]) + key_bytes + value.encode()
+                self.assertEqual(http(
+                    "POST", "http://%s/log-append?topic=%s&part=0" % (
+                        c.store.address, "keyed.lagoonvale-entries"),
+                    struct.pack(">I", len(content)) + content)[0], 200)
+        for p in c.agents + c.entries:
+            p.kill()
+            p.start()
+        self.assertTrue(wait_until(lambda: all(
+            c.submit(i, job(run_ms=5))[0] == 200 for i in range(2))))
+        time.sleep(1)
+        for p in c.agents + c.entries:
+            self.assertEqual(c.log_of(p).count("event=started"), 2)
+            self.assertTrue(p.alive())
+        self.check_rules(c)
+
     # Guards against entries that start at the same moment and read the list
     # before either is on it: they and their agents did not know each other for
     # 30 s.
--- a/tests/process/test_runner.py
+++ b/tests/process/test_runner.py
@@ -14,6 +14,8 @@
 
 JOIN, REPORT = 12, 13
 DIGEST = 7
+# Defaults of the runner: a report each 1.5 s, and 2.5 s of grace.
+REPORT_MAX_AGE_S = 4.0
 FULL_LIST_INTERVAL_S = 5.0
 # Offsets of the procedure in a call and of the known digest in a report.
 PROC_OFFSET, KNOWN_OFFSET = 20, 40 + 8 + 4 + 4 + 8
@@ -150,6 +152,52 @@
         self.assertEqual(http("PUT", url, good)[0], 200)
         self.assertTrue(wait_until(lambda: c.metric(c.agents[0], free) == 4000))
 
+    # Guards against one odd report of another writer that is taken for the
+    # minion's own: one with too large a number made all later ones look old, and
+    # the agent took no orders any more.
+    def test_an_odd_report_of_another_writer_changes_nothing(self):
+        c = PlatformCluster(entries=1, agents=1)
+        self.addCleanup(c.close)
+        c.await_ready()
+        born = c.born(0)
+        good = {"service": SERVICE, "address": c.minions[0].address,
+                "zone": "z", "state": "ready", "seq": 10 ** 6,
+                "clock_ms": 10, "born": born,
+                "room": {"cpu": 8000, "mem_mb": 65536, "gpu": 0}}
+        nested = json.loads("[" * 400 + "]" * 400)
+        odd = [dict(good, **more) for more in (
+            {"seq": 2 ** 63}, {"seq": 2 ** 64}, {"seq": 10 ** 40},
+            {"seq": 1e300}, {"seq": "1"}, {"seq": -1},
+            {"born": 2 ** 64}, {"born": 1e18},
+            {"clock_ms": 2 ** 70}, {"clock_ms": "x"},
+            {"room": {"cpu": 10 ** 30, "mem_mb": 1, "gpu": 0}},
+            {"address": "127.0.0.1:65536"}, {"address": "127.0.0.1:0"},
+            {"address": "127.0.0.1:-1"}, {"address": 7}, {"address": "x"},
+            {"more": nested}, {"room": nested})]
+        url = "http://%s/instances/i-1" % c.agents[0].address
+        for report in odd:
+            with self.subTest(report=json.dumps(report)[:150]):
+                self.assertEqual(http("PUT", url, report)[0], 400)
+        deep = b'{"more":' + b'{"a":' * 100000 + b"1" + b"}" * 100001
+        self.assertEqual(http("PUT", url, deep)[0], 400)
+        time.sleep(REPORT_MAX_AGE_S + 0.5)
+        self.assertEqual(c.submit(0, job(run_ms=5), wait_ms=500)[0], 200)
+        self.assertEqual(c.log_of(c.agents[0]).count("event=started"), 1)
+
+    # Guards against a number that can be read, but is far too high, and makes all
+    # later reports look old for good.
+    def test_reports_count_again_after_one_with_a_high_number(self):
+        c = PlatformCluster(entries=1, agents=1)
+        self.addCleanup(c.close)
+        c.await_ready()
+        report = {"service": SERVICE, "state": "ready", "seq": 2 ** 63 - 1,
+                  "born": c.born(0),
+                  "room": {"cpu": 8000, "mem_mb": 65536, "gpu": 0}}
+        url = "http://%s/instances/i-1" % c.agents[0].address
+        self.assertEqual(http("PUT", url, report)[0], 200)
+        time.sleep(REPORT_MAX_AGE_S + 1)
+        self.assertEqual(c.submit(0, job(run_ms=5), wait_ms=500)[0], 200)
+
     # Guards against a capacity that has shrunk to nothing being taken for a
     # report that cannot be read: starts would go by the former one for seconds.
     def test_a_capacity_may_shrink_to_nothing_and_grow_again(self):
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -47,6 +47,14 @@
       -EBADMSG },
     { "{\"born\":9,\"running\":[],\"finished\":[[1,\"x\",1]]}", -EBADMSG },
     { "{\"born\":9,\"running\":[],\"finished\":[7]}", -EBADMSG },
+    /* Numbers that are cut to the highest would acknowledge all later ends.  */
+    { "{\"born\":9,\"running\":[],\"finished\":[[18446744073709551616,\"x\",1,"
+      "\"done\"]]}",
+      -EBADMSG },
+    { "{\"born\":9,\"running\":[],\"finished\":[[1e300,\"x\",1,\"done\"]]}",
+      -EBADMSG },
+    { "{\"born\":9223372036854775808,\"running\":[],\"finished\":[]}",
+      -EBADMSG },
     { "{\"born\":9,\"running\":[]}", -EBADMSG },
     { "{\"born\":9,\"finished\":[]}", -EBADMSG },
     { "{\"born\":9,\"running\":{},\"finished\":[]}", -EBADMSG },
@@ -223,6 +231,8 @@
     { "{\"version\":7,\"routes\":[" + route + "],\"routes\":[]}", -1 },
     { "{\"version\":0,\"routes\":[" + route + "]}", -1 },
     { "{\"version\":-7,\"routes\":[" + route + "]}", -1 },
+    /* Cut to the highest version, it would be the last one ever followed.  */
+    { "{\"version\":18446744073709551616,\"routes\":[" + route + "]}", -1 },
     { "{\"version\":\"7\",\"routes\":[" + route + "]}", -1 },
     { "{\"version\":7}", -1 },
     { "[]", -1 },
