--- a/tools/soak.py
+++ b/tools/soak.py
@@ -26,7 +26,8 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import cluster  # noqa: E402
 from cluster import wait_until  # noqa: E402
-from platform_cluster import Callers, PlatformCluster, job, queue  # noqa: E402
+from platform_cluster import (Callers, PlatformCluster, RESEND_S,  # noqa: E402
+                              job, queue)
 
 RECOVERY_S = 12.0
 # Within RECOVERY_S after the faults the request rate must reach this share of
@@ -41,6 +42,7 @@
         # Draws the faults that came later: each seed keeps its earlier ones.
         self.more = random.Random("more %d" % seed)
         self.newest = random.Random("newest %d" % seed)
+        self.latest = random.Random("latest %d" % seed)
         # In half of the runs a pause is the suspension of an instance.
         if self.newest.random() < 0.5:
             cluster.PROGRAMS = os.path.join(cluster.BUILD, "suspendable")
@@ -77,6 +79,13 @@
             kind = self.newest.choice(kinds)
             self.schedule.append((at, kind.__name__, kind(), 0.5))
             at += self.newest.uniform(2.0, 6.0)
+        kinds = [self.slow_stops, self.same_id, self.leaving_callers]
+        at = self.latest.uniform(0.2, 3.0)
+        while at < self.seconds:
+            kind = self.latest.choice(kinds)
+            self.schedule.append((at, kind.__name__, kind(),
+                                  self.latest.uniform(0.3, 3.0)))
+            at += self.latest.uniform(1.0, 4.0)
         self.schedule.sort(key=lambda fault: fault[0])
 
     def start_again(self, p):
@@ -176,6 +185,37 @@
         m = self.newest.choice(self.c.minions)
         return lambda: self.set_minion(m, cut=1), lambda: None
 
+    def slow_stops(self):
+        m = self.latest.choice(self.c.minions)
+        stop_ms = self.latest.choice([20, 45, 50])
+        return (lambda: self.set_minion(m, stop_ms=stop_ms),
+                lambda: self.set_minion(m, stop_ms=0))
+
+    def same_id(self):
+        """A minion that crashes is back under the id that it had."""
+        m = self.latest.choice(self.c.minions)
+        return (lambda: self.set_minion(m, keep_id=1, crash=1), lambda: None)
+
+    def leaving_callers(self):
+        """Callers leave as the connections of their entry are reset, and send
+        their jobs again through the next one."""
+        i = self.latest.randrange(len(self.c.entries))
+        names = ["%016x" % self.latest.getrandbits(64) for _ in range(4)]
+        body = job(count=4, run_ms=1500)
+
+        def leave(name):
+            self.c.submit(i, body, name, timeout=0.4)
+            time.sleep(RESEND_S)
+            self.c.submit((i + 1) % len(self.c.entries), body, name)
+
+        def send():
+            for name in names:
+                threading.Thread(target=leave, args=(name,),
+                                 daemon=True).start()
+            time.sleep(0.4)
+            self.c.set_fault("entry-%d" % i, reset=True)
+        return send, lambda: None
+
     def narrow_link(self):
         i = self.more.randrange(len(self.c.entries))
         rate = self.more.choice([30000, 250000])
