--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -653,6 +653,27 @@
             c.agents[0].start()
         self.under_many_small_runs(fault)
 
+    # Guards against a request that an entry reads after a pause, when its caller
+    # has left and has sent the job again through another entry.
+    def test_a_request_whose_caller_left_during_a_pause_is_not_run(self):
+        c = self.ready()
+        name, body = os.urandom(8).hex(), job(count=4, run_ms=2500)
+        c.entries[0].pause()
+
+        def call():
+            c.submit(0, body, name, timeout=0.5)
+            time.sleep(RESEND_S)
+            c.submit(1, body, name, wait_ms=9000, timeout=9)
+        caller = threading.Thread(target=call)
+        caller.start()
+        time.sleep(0.5 + RESEND_S + 0.2)
+        c.entries[0].resume()
+        caller.join()
+        starts = [e for e in c.events() if e["what"] == "start"
+                  and e["task"].startswith(name)]
+        self.assertEqual(len(starts), 4)
+        self.check_rules(c)
+
     def test_entry_paused(self):
         def fault(c):
             c.entries[0].pause()
