Runner: a stop without an answer is sent again on a new connection

Who waited: with the stops' own connections, up to 48 of them stay open after a mass of stops. Where open connections go silent, a later stop went out on one after another, 60 ms each, while its run was there and the lease withheld: after 0.6 s the lease ended all runs of the minion, those of others too.

Fix: the first sending takes any open connection, each later one opens its own.

--- a/include/lagoonvale/runtracker.h
+++ b/include/lagoonvale/runtracker.h
@@ -60,6 +60,7 @@
  * @ordered_ns: when it was added
  * @sent_ns: when the last start or stop was sent, or the stop acknowledged
  * @stop_waits: its stop is not sent yet, too many others have no answer
+ * @stops_sent: how often its stop was sent
  * @given_up: by its entry, at @given_up_ns
  * @started_ns: when the minion confirmed the start
  * @queue: name of its job's queue, owned by the run, NULL if unknown
@@ -80,6 +81,7 @@
   uint64_t ordered_ns;
   uint64_t sent_ns;
   bool stop_waits;
+  unsigned stops_sent;
   bool given_up;
   uint64_t given_up_ns;
   uint64_t started_ns;
--- a/src/dispatch_agents.c
+++ b/src/dispatch_agents.c
@@ -165,7 +165,7 @@
   lvp_stop stop = { 0 };
   u_int i;
 
-  if (join->entry != d->incarnation)
+  if (join->entry != d->incarnation || a->conn == NULL)
     return;
   stop.runs.runs_val = xtalloc_array (NULL, u_quad_t, join->runs.runs_len);
   for (i = 0; i < join->runs.runs_len; i++)
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -311,6 +311,12 @@
   curl_easy_setopt (r->easy, CURLOPT_PREREQDATA, r);
 }
 
+void
+hcl_use_new_connection (struct hcl_request *r)
+{
+  curl_easy_setopt (r->easy, CURLOPT_FRESH_CONNECT, 1L);
+}
+
 void
 hcl_add_header (struct hcl_request *r, const char *line)
 {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -79,6 +79,10 @@
  */
 void hcl_forbid_repeat (struct hcl_request *request);
 
+/** hcl_use_new_connection() - send @request, just created, on a connection of
+ * its own: those that are open may have gone silent. */
+void hcl_use_new_connection (struct hcl_request *request);
+
 /** hcl_add_header() - add a header line, "NAME: VALUE", to a request that was
  * created just now. */
 void hcl_add_header (struct hcl_request *request, const char *line);
--- a/src/runtracker.c
+++ b/src/runtracker.c
@@ -137,6 +137,7 @@
     return;
   t->stops_open++;
   run->stop_waits = false;
+  run->stops_sent++;
   run->sent_ns = now_ns;
   t->events.stop (run, t->events.priv);
 }
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -124,6 +124,9 @@
     ("token-of-the-former-process", "src/fencetoken.c",
      "  if (t->value < FTK_MAX)\n    t->value++;", "  (void)t;",
      "LateStarts.test_a_start_meant_for_a_process_of_the_same_id"),
+    ("stop-repeated-on-open-connections", "platform/pfm_minion.c",
+     "  if (request != NULL && run->stops_sent > 1)", "  if (false)",
+     "test_stops_get_through_while_open"),
     ("directory-read-once", "src/directory.c",
      "  if (listed)\n    {\n      d->next_read_ns",
      "  if (d->self.len > 0)\n    {\n"
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -653,6 +653,35 @@
             c.agents[0].start()
         self.under_many_small_runs(fault)
 
+    # Guards against a stop that is sent on one silent connection after another,
+    # of the many that are left from a former mass of stops, until the lease that
+    # is withheld meanwhile ends the runs of others.
+    def test_stops_get_through_while_open_connections_are_silent(self):
+        c = self.ready(entries=1, agents=1, mcores=64000, proxy=True)
+        c.set_mode(c.minions[0], stop_ms=SLOW_STOP_MS)
+        c.submit(0, job(count=100, run_ms=5000, mcores=200), timeout=0.5)
+        self.assertTrue(wait_until(
+            lambda: c.metric(c.agents[0], "lagoonvale_runs") == 0))
+        c.set_mode(c.minions[0], stop_ms=0)
+        answers = []
+        other = threading.Thread(target=lambda: answers.append(
+            c.submit(0, job(run_ms=3000), wait_ms=5000)[0]))
+        other.start()
+        name = "8" * 16
+        leaver = threading.Thread(target=lambda: c.submit(
+            0, job(run_ms=5000), name, timeout=0.6))
+        leaver.start()
+        time.sleep(0.5)
+        c.set_fault("minion-0", freeze="all")
+        other.join()
+        leaver.join()
+        ends = {e["task"].split(".")[0]: e["how"] for e in c.events()
+                if e["what"] == "end"}
+        self.assertEqual(ends[name], "stopped")
+        self.assertEqual(answers, [200])
+        self.assertNotIn("lapsed", [e["how"] for e in c.events()
+                                    if e["what"] == "end"])
+
     # Guards against a request that an entry reads after a pause, when its caller
     # has left and has sent the job again through another entry.
     def test_a_request_whose_caller_left_during_a_pause_is_not_run(self):
