Tests: runs whose stops take too long end with their lease

The mutant that renews the lease for runs that were given up survived its test, since the faster stops alone are enough for 144 runs. This one, with stops of 4 s, fails on the old code and kills it.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -120,7 +120,7 @@
     ("lease-renewed-for-runs-given-up", "src/runner_minion.c",
      "  return r->minion.runs_known && rtk_may_renew (&r->tracker, clk_boot ());",
      "  return true;",
-     "test_many_runs_of_a_killed_agent"),
+     "test_runs_that_cannot_be_stopped"),
     ("token-of-the-former-process", "src/fencetoken.c",
      "  if (t->value < FTK_MAX)\n    t->value++;", "  (void)t;",
      "LateStarts.test_a_start_meant_for_a_process_of_the_same_id"),
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -29,6 +29,8 @@
 NARROW_APPLY_S = 4.0
 # A minion may take 50 ms for a stop.
 SLOW_STOP_MS = 45
+# So long that the lease has to end a run.
+NO_STOP_MS = 4000
 # Variants that standins/platform_minion.py knows.
 MALFORMED_LISTS = 12
 # Memory for an entry with 10,000 queues (issue 19), without shared libraries.
@@ -614,12 +616,12 @@
         self.assertEqual(c.submit(1, job(count=4, run_ms=100), name)[0], 200)
         self.check_rules(c)
 
-    def under_many_small_runs(self, fault):
+    def under_many_small_runs(self, fault, stop_ms=SLOW_STOP_MS):
         """Injects fault() while entry 0 has 144 runs on each of two minions that
         take long for a stop.  Callers that lose it send their jobs again."""
         c = self.ready(mcores=64000)
         for m in c.minions:
-            c.set_mode(m, stop_ms=SLOW_STOP_MS)
+            c.set_mode(m, stop_ms=stop_ms)
         body = job(count=12, run_ms=5000, mcores=200)
 
         def call(name):
@@ -644,6 +646,12 @@
     def test_many_runs_of_a_killed_entry_end_in_time(self):
         self.under_many_small_runs(lambda c: c.entries[0].kill())
 
+    # Guards against a lease that is renewed for runs which their entry counts on
+    # to have ended, however long their stops take.
+    def test_runs_that_cannot_be_stopped_end_with_their_lease(self):
+        self.under_many_small_runs(lambda c: c.entries[0].kill(),
+                                   stop_ms=NO_STOP_MS)
+
     # Guards against an agent that keeps the runs of the one before it alive while
     # it stops them, longer than their entry waits until it starts them elsewhere.
     def test_many_runs_of_a_killed_agent_end_in_time(self):
