--- a/tools/deploy_check.py
+++ b/tools/deploy_check.py
@@ -17,7 +17,7 @@
     "seeds": ["10.0.0.1:8166", "10.0.0.2:8166"],
     "platform": {"address": "10.0.0.9:8169"},
     "heartbeat_ms": 1500,
-    "bounds": {"max_hold_ms": 1000, "contact_ms": 3000},
+    "bounds": {"max_hold_ms": 1000, "contact_ms": 3000, "stop_ms": 50},
 }
 PROGRAMS = {"entry.json": "lagoonvale-dispatcher",
             "agent.json": "lagoonvale-runner"}
