--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,7 @@
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
 for f in standins/httpd.py standins/platform_minion.py \
-  standins/platform_store.py standins/fault_proxy.py tools/cluster.py \
+  standins/platform_store.py tools/cluster.py \
   tools/platform_cluster.py review/common-2/*.py; do
   python3 - "$f" "$out" <<'P'
 import py_compile, sys
--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -3,7 +3,6 @@
 stand-ins for the platform, and the record of what was seen.
 
 The settings are those that deploy/templates gives for kaapcut-sched."""
-import json
 import os
 import sys
 import threading
@@ -16,19 +15,12 @@
 sys.dont_write_bytecode = True
 sys.path.insert(0, os.path.join(ROOT, "tools"))
 
-import platform_cluster  # noqa: E402
-from cluster import http, wait_until  # noqa: E402,F401
-from platform_cluster import HOST, PlatformCluster, job, queue  # noqa: E402,F401
+import cluster  # noqa: E402
+from cluster import wait_until  # noqa: E402,F401
+from platform_cluster import PlatformCluster, job  # noqa: E402,F401
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
-# Bounds of kaapcut-sched, in seconds.
-CANCEL_S = 3.0
-STOP_S = 0.05
-RETRANSMIT_S = 1.3
-CONFIG_APPLY_S = 2.0
-CONTACT_S = 3.0
-
 # What deploy/templates/agent.json gives for kaapcut-sched.
 AGENT = {"lease_max_ms": 1000, "stop_max_ms": 50, "report_interval_ms": 1500,
          "report_grace_ms": 3000}
@@ -57,6 +49,26 @@
                 f.write("%9.3f  %s\n" % (at - self.began, text))
 
 
+# Every process that the case has started.
+started = []
+start_process = cluster.Process.start
+
+
+def start_and_note(process):
+    start_process(process)
+    started.append(process.popen)
+
+
+cluster.Process.start = start_and_note
+
+
+def end_processes():
+    for popen in started:
+        if popen.poll() is None:
+            popen.kill()
+            popen.wait()
+
+
 def check_commands():
     """The scripts start the programs that the deploy file names."""
     with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as f:
@@ -70,11 +82,10 @@
             raise NotRun("%s is not built" % program)
 
 
-def note_events(record, cluster, tasks):
-    """Adds what the minions did about the jobs whose ids begin with one of
-    TASKS to the record."""
-    for e in cluster.events():
-        if not any(e["task"].startswith(t) for t in tasks):
+def note_events(record, deployment, job_id):
+    """Adds what the minions did about the job to the record."""
+    for e in deployment.events():
+        if not e["task"].startswith(job_id):
             continue
         record.note("minion-%d %s task=%s attempt=%d%s" % (
             e["minion"], e["what"], e["task"], e["attempt"],
@@ -82,7 +93,8 @@
 
 
 def run(folder, case):
-    """Runs CASE (record) -> list of breaches, and exits as issue 35 says."""
+    """Runs CASE (record), which returns the breaches it saw, and exits with 1
+    if there are any, 0 if not, 2 if it could not run."""
     record = Record(folder)
     record.note("TROUBLE=%d" % TROUBLE)
     try:
@@ -93,13 +105,11 @@
         record.write()
         print("could not run: %r" % error)
         sys.exit(2)
+    finally:
+        end_processes()
     for b in breaches:
         record.note("BROKEN: " + b)
         print("broken: " + b)
     record.note("result: %d breaches" % len(breaches))
     record.write()
     sys.exit(1 if breaches else 0)
-
-
-def dump(value):
-    return json.dumps(value, sort_keys=True)
