Crashes count only under runs that the minion is known to have executed

Cause: a crash was counted under every run in the agent's book, also where the start was never confirmed nor listed; the end of such a run counted as a crash of age 0. A task that was placed at a minion which crashed in the same moment as its former one was given up, and its job answered as failed.

Change: rtk_run.executed; a crash ends other runs as lapsed, the notice says of each run whether it was executed, and crashlog keeps the rest as doubts, which confine but never convict.

--- a/include/lagoonvale/crashlog.h
+++ b/include/lagoonvale/crashlog.h
@@ -9,6 +9,11 @@
  * entry that they serve, not only the one that ordered the run: what is known
  * of a task outlives its entry.
  *
+ * A crash counts under a task only if the minion is known to have executed its
+ * start: one that was sent and not answered may never have arrived.  Such a
+ * doubt, like the blame, makes a task a suspect at most, and one that doubts
+ * would make poison is not started.
+ *
  * A minion that falls silent may have crashed.  Until that is known, its tasks
  * are suspects, and one that would be poison if it had crashed is not started;
  * but no task is poison by silence alone.  Bounded and pure.
@@ -42,16 +47,19 @@
  * @task: name of the task, "JOB.INDEX"
  * @age_ms: time from its start to the last sign of life of the minion, or
  * CRL_AGE_NEVER_STARTED
+ * @executed: the minion has confirmed the start, or listed the run
  */
 struct crl_run
 {
   struct lv_slice task;
   uint32_t age_ms;
+  bool executed;
 };
 
 /**
  * struct crl_task - a task under which minions have crashed
  * @crashes: number of minions
+ * @doubts: number of minions that crashed and may have run it
  * @silences: number of minions that fell silent, and of which no more is known
  * @blame: sum of its parts in these crashes, 1 if only its job is blamed
  * @silent_blame: the same for the silences
@@ -62,6 +70,7 @@
 {
   char name[RTK_NAME_MAX];
   unsigned crashes;
+  unsigned doubts;
   unsigned silences;
   double blame;
   double silent_blame;
@@ -125,8 +134,8 @@
 bool crl_is_poison (const struct crl_task *task);
 
 /** crl_must_wait() - whether @task, NULL allowed, would be poison if the
- * minions that fell silent under it had crashed: not to be started until that
- * is known.
+ * minions that fell silent under it had crashed, or CRL_CRASHES_MAX minions
+ * may have crashed under it: not to be started until more is known.
  */
 bool crl_must_wait (const struct crl_task *task);
 
--- a/include/lagoonvale/runtracker.h
+++ b/include/lagoonvale/runtracker.h
@@ -63,6 +63,7 @@
  * @stops_sent: how often its stop was sent
  * @given_up: by its entry, at @given_up_ns
  * @started_ns: when the minion confirmed the start
+ * @executed: the minion has confirmed the start, or listed the run
  * @queue: name of its job's queue, owned by the run, NULL if unknown
  * @expected_failure: failure rate of that queue at all minions, 0 to 1
  * @percent: progress as last listed
@@ -85,6 +86,7 @@
   bool given_up;
   uint64_t given_up_ns;
   uint64_t started_ns;
+  bool executed;
   char *queue;
   double expected_failure;
   uint32_t percent;
@@ -229,7 +231,7 @@
 bool rtk_any_start_open (const struct rtk_tracker *t);
 
 /** rtk_end_all() - end all runs with @outcome: the minion runs none of them.
- */
+ * With RTK_CRASHED, those that it may never have begun end as RTK_LAPSED. */
 void rtk_end_all (struct rtk_tracker *t, enum rtk_outcome outcome);
 
 /** rtk_tick() - send stops that wait, repeat unanswered ones; stop stalled
--- a/proto/lvproto.x
+++ b/proto/lvproto.x
@@ -277,6 +277,7 @@
   lvp_name task;
   lvp_text queue;
   unsigned int age_ms;		/* see struct crl_run */
+  bool executed;		/* see struct crl_run */
   unsigned int presence_permille;	/* of the queue, see struct blk_young */
 };
 
--- a/src/crashlog.c
+++ b/src/crashlog.c
@@ -156,16 +156,20 @@
     clear_blame (l, before);
 }
 
-/* Record that TASK was lost with its minion, of which it is blamed for PART.
- */
-typedef void (*loss_fn) (struct crl_log *l, struct crl_task *task, double part,
+/* Record that TASK was lost as RUN with its minion, of which it is blamed for
+   PART.  */
+typedef void (*loss_fn) (struct crl_log *l, struct crl_task *task,
+                         const struct crl_run *run, double part,
                          uint64_t now_ns);
 
 static void
-record_crash (struct crl_log *l, struct crl_task *task, double part,
-              uint64_t now_ns)
+record_crash (struct crl_log *l, struct crl_task *task,
+              const struct crl_run *run, double part, uint64_t now_ns)
 {
-  task->crashes++;
+  if (run->executed)
+    task->crashes++;
+  else if (run->age_ms != CRL_AGE_NEVER_STARTED)
+    task->doubts++;
   if (part > 0)
     blame_task (l, task, part);
   if (crl_is_poison (task))
@@ -173,10 +177,11 @@
 }
 
 static void
-record_silence (struct crl_log *l, struct crl_task *task, double part,
-                uint64_t now_ns)
+record_silence (struct crl_log *l, struct crl_task *task,
+                const struct crl_run *run, double part, uint64_t now_ns)
 {
   (void)l;
+  (void)run;
   (void)now_ns;
   task->silences++;
   task->silent_blame += part;
@@ -197,7 +202,7 @@
       double part = blamed[i] ? 1.0 / jobs : 0;
 
       if (runs[i].task.len < RTK_NAME_MAX)
-        record (l, touch (l, runs[i].task, now_ns), part, now_ns);
+        record (l, touch (l, runs[i].task, now_ns), &runs[i], part, now_ns);
     }
   talloc_free (blamed);
 }
@@ -254,9 +259,11 @@
 bool
 crl_must_wait (const struct crl_task *task)
 {
-  return task != NULL
-         && is_too_much (task->crashes + task->silences,
-                         task->blame + task->silent_blame);
+  if (task == NULL)
+    return false;
+  return is_too_much (task->crashes + task->silences,
+                      task->blame + task->silent_blame)
+         || task->crashes + task->silences + task->doubts >= CRL_CRASHES_MAX;
 }
 
 bool
--- a/src/dispatch_risk.c
+++ b/src/dispatch_risk.c
@@ -26,7 +26,7 @@
 {
   const struct crl_task *known = dsp_find_crashes (d, task);
   char name[RTK_NAME_MAX];
-  struct crl_run run = { .age_ms = 0 };
+  struct crl_run run = { .age_ms = 0, .executed = true };
 
   if (known == NULL || known->newest_ns < task->placed_ns)
     {
@@ -95,6 +95,7 @@
     {
       runs[i].task = lv_slice_of (loss->runs.runs_val[i].task);
       runs[i].age_ms = loss->runs.runs_val[i].age_ms;
+      runs[i].executed = loss->runs.runs_val[i].executed;
     }
   return runs;
 }
--- a/src/lvproto.h
+++ b/src/lvproto.h
@@ -313,6 +313,7 @@
 	lvp_name task;
 	lvp_text queue;
 	u_int age_ms;
+	bool_t executed;
 	u_int presence_permille;
 };
 typedef struct lvp_lost_run lvp_lost_run;
--- a/src/lvproto_xdr.c
+++ b/src/lvproto_xdr.c
@@ -584,6 +584,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->executed))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->presence_permille))
 		 return FALSE;
 	return TRUE;
--- a/src/runner_losses.c
+++ b/src/runner_losses.c
@@ -58,6 +58,7 @@
                     * orr_presence (&r->order_rates,
                                     lv_slice_of (runs[n].queue),
                                     BLK_YOUNG_MS * CLK_MS, clk_now ()));
+      runs[n].executed = run->executed;
       runs[n++].age_ms = age_at_loss (&r->minion, run);
     }
   qsort (runs, n, sizeof runs[0], compare_ages);
--- a/src/runtracker.c
+++ b/src/runtracker.c
@@ -117,6 +117,7 @@
 {
   (void)t;
   run->started_ns = now_ns;
+  run->executed = true;
   run->progress_ns = now_ns;
   if (run->state == RTK_STARTING)
     run->state = RTK_RUNNING;
@@ -251,6 +252,7 @@
       run = add_run (t, l->name, l->attempt, now_ns);
       run->state = RTK_RUNNING;
       run->started_ns = now_ns;
+      run->executed = true;
       t->unknown_runs++;
       run->listed = true;
       rtk_stop (t, run, now_ns);
@@ -259,6 +261,7 @@
   if (run->attempt != l->attempt)
     return;
   run->listed = true;
+  run->executed = true;
   if (l->percent > run->percent)
     {
       run->percent = l->percent;
@@ -318,7 +321,11 @@
 rtk_end_all (struct rtk_tracker *t, enum rtk_outcome outcome)
 {
   while (t->runs != NULL)
-    end_run (t, t->runs, outcome);
+    {
+      bool unproven = outcome == RTK_CRASHED && !t->runs->executed;
+
+      end_run (t, t->runs, unproven ? RTK_LAPSED : outcome);
+    }
 }
 
 static bool
--- a/tests/unit/crashes_test.cc
+++ b/tests/unit/crashes_test.cc
@@ -114,6 +114,7 @@
   {
     const char *task;
     uint32_t age_ms;
+    bool executed = true;
   };
   std::vector<struct crl_run>
   lost (const std::vector<Run> &runs)
@@ -121,7 +122,7 @@
     std::vector<struct crl_run> out;
 
     for (const auto &r : runs)
-      out.push_back ({ lv_slice_of (r.task), r.age_ms });
+      out.push_back ({ lv_slice_of (r.task), r.age_ms, r.executed });
     return out;
   }
   void
@@ -194,6 +195,92 @@
     }
 }
 
+/* A job must not be answered as failed for crashes of minions that never
+   began its task: their answers to its start were lost, or they had crashed
+   before.  A task that may have crashed three is not started again either.  */
+TEST_F (Crashlog, OnlyExecutedRunsAreProofOfACrash)
+{
+  const struct
+  {
+    const char *name;
+    const char *crashes; /* x: executed, u: unanswered, g: sent when the minion
+                            was gone */
+    bool wait, poison, suspect;
+  } cases[] = {
+    { "unanswered once", "u", false, false, true },
+    { "executed, then unanswered", "xu", false, false, true },
+    { "unanswered twice", "uu", false, false, true },
+    { "unanswered three times", "uuu", true, false, true },
+    { "executed, then twice unanswered", "xuu", true, false, true },
+    { "executed twice, and unanswered", "xux", true, true, true },
+    { "gone three times", "ggg", false, false, false },
+    { "executed, then gone twice", "xgg", false, false, true },
+  };
+
+  for (const auto &c : cases)
+    {
+      crl_finish (&log);
+      for (const char *at = c.crashes; *at != '\0'; at++)
+        crash ({ { "j.0", *at == 'g' ? CRL_AGE_NEVER_STARTED : 10,
+                   *at == 'x' } });
+      EXPECT_EQ (crl_must_wait (task ("j.0")), c.wait) << c.name;
+      EXPECT_EQ (crl_is_poison (task ("j.0")), c.poison) << c.name;
+      EXPECT_EQ (crl_is_suspect (task ("j.0")), c.suspect) << c.name;
+    }
+}
+
+/* Minions crash at random, and a tenth of the tasks crash theirs; a part of the
+   starts has no answer.  Whatever the history, no task is given up unless two
+   minions have crashed while they ran it, and none is started again after three
+   crashes that it caused.  */
+TEST_F (Crashlog, RandomHistoriesGiveUpNoTaskWithoutTwoCrashesUnderIt)
+{
+  constexpr unsigned kTasks = 12, kCrashes = 30;
+
+  for (unsigned seed = 0; seed < 3000; seed++)
+    {
+      std::mt19937 random (seed);
+      unsigned under[kTasks] = { 0 }, caused[kTasks] = { 0 };
+      std::string names[kTasks];
+
+      crl_finish (&log);
+      for (unsigned i = 0; i < kTasks; i++)
+        names[i] = "j" + std::to_string (i) + ".0";
+      for (unsigned n = 0; n < kCrashes; n++)
+        {
+          std::vector<Run> runs;
+          bool deadly_runs = false;
+
+          for (unsigned i = 0; i < kTasks; i++)
+            {
+              const struct crl_task *known = task (names[i].c_str ());
+              bool deadly = i < kTasks / 10 && !deadly_runs;
+              bool runs_here = random () % 4 == 0 || deadly;
+              bool answered = random () % 3 != 0;
+              bool begun = answered || random () % 2 == 0 || deadly;
+
+              if (!runs_here || crl_is_poison (known) || crl_must_wait (known))
+                continue;
+              runs.push_back ({ names[i].c_str (),
+                                deadly ? 2u : 5 + (unsigned)random () % 200,
+                                answered && begun });
+              under[i] += begun;
+              caused[i] += deadly;
+              deadly_runs |= deadly;
+            }
+          crash (runs);
+        }
+      for (unsigned i = 0; i < kTasks; i++)
+        {
+          if (crl_is_poison (task (names[i].c_str ())))
+            {
+              ASSERT_GE (under[i], 2u) << "seed " << seed << " task " << i;
+            }
+          ASSERT_LE (caused[i], CRL_CRASHES_MAX * 1u) << "seed " << seed;
+        }
+    }
+}
+
 /* A minion that is silent may have crashed or not: its tasks must neither be
    given up for it, nor be started on one minion after the other meanwhile.  */
 TEST_F (Crashlog, TaskOfSilentMinionsWaitsUntilTheirFateIsKnown)
--- a/tests/unit/dispatch_test.cc
+++ b/tests/unit/dispatch_test.cc
@@ -406,6 +406,35 @@
     }
 }
 
+/* A crash says nothing of a task whose start the minion may never have
+   executed: its job must not be blamed.  */
+TEST_F (Runtracker, ACrashEndsOnlyExecutedRunsAsCrashed)
+{
+  const struct
+  {
+    const char *name;
+    bool confirmed, listed;
+    enum rtk_outcome end;
+  } cases[] = {
+    { "sent", false, false, RTK_LAPSED },
+    { "confirmed", true, false, RTK_CRASHED },
+    { "unanswered, but listed", false, true, RTK_CRASHED },
+    { "confirmed and listed", true, true, RTK_CRASHED },
+  };
+  for (const auto &c : cases)
+    {
+      ends.clear ();
+      struct rtk_run *run = order ("a");
+      if (c.confirmed)
+        rtk_mark_started (&tracker, run, 1);
+      if (c.listed)
+        list ({ "a" }, 2, 3);
+      rtk_end_all (&tracker, RTK_CRASHED);
+      ASSERT_EQ (ends.size (), 1u) << c.name;
+      EXPECT_EQ (ends[0].second, c.end) << c.name;
+    }
+}
+
 TEST_F (Runtracker, GivingUpAnOwnerStopsOnlyItsRuns)
 {
   order ("a", 1000, 5);
