Dispatcher: a job that is sent again waits until its former runs have ended

Cause: an entry forgot a withdrawn or answered job while the stops of its runs were under way; the same id, sent again at once, was placed elsewhere.

Change: abandoned (module) keeps these runs until their ends are reported, the agent joins again without them, or its lease has lapsed; placement passes over a job that has any.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -37,6 +37,8 @@
   { "lagoonvale_agents", "agents known, also those lost of late", true },
   { "lagoonvale_agents_joined", "agents that take orders", true },
   { "lagoonvale_open_jobs", "jobs that are not answered yet", true },
+  { "lagoonvale_abandoned_runs",
+    "runs of jobs that are answered or withdrawn, being stopped", true },
   { "lagoonvale_waiting_mcore_ms", "declared work that waits", true },
   { "lagoonvale_config_version", "configuration in force", true },
 };
@@ -203,6 +205,7 @@
   per_tick (&d->peers, now);
   dsp_expire_jobs (d, clk_boot ());
   dsp_requeue_lapsed (d, now);
+  abd_expire (&d->abandoned, now);
   flt_forget_expired (&d->fleet, now);
   crl_expire (&d->crashes, clk_boot ());
   dsp_mark_confining (d);
@@ -212,6 +215,8 @@
   ctr_set_gauge (&d->counters, DSP_AGENTS, d->fleet.count);
   ctr_set_gauge (&d->counters, DSP_AGENTS_JOINED, count_accepting (d));
   ctr_set_gauge (&d->counters, DSP_OPEN_JOBS, HASH_COUNT (d->jobs.jobs));
+  ctr_set_gauge (&d->counters, DSP_ABANDONED_RUNS,
+                 HASH_COUNT (d->abandoned.runs));
   ctr_set_gauge (&d->counters, DSP_WAITING_MCORE_MS, d->jobs.waiting_mcore_ms);
   log_flush ();
 }
@@ -266,6 +271,7 @@
   gsl_rng_set (d->rng, (unsigned long)d->incarnation);
   d->placement = xtalloc_check (tevent_create_immediate (mem_ctx));
   jtb_init (&d->jobs, mem_ctx);
+  abd_init (&d->abandoned, mem_ctx);
   flt_init (&d->fleet, mem_ctx);
   crl_init (&d->crashes, mem_ctx);
   blk_init (&d->bulkhead, mem_ctx);
@@ -286,6 +292,7 @@
 dsp_finish (struct dsp_dispatch *d)
 {
   jtb_finish (&d->jobs);
+  abd_finish (&d->abandoned);
   flt_finish (&d->fleet);
   crl_finish (&d->crashes);
   blk_finish (&d->bulkhead);
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -16,6 +16,7 @@
 #include <tevent.h>
 
 #include "fleet.h"
+#include "lagoonvale/abandoned.h"
 #include "lagoonvale/backlog.h"
 #include "lagoonvale/bulkhead.h"
 #include "lagoonvale/catalog.h"
@@ -101,6 +102,7 @@
   DSP_AGENTS,
   DSP_AGENTS_JOINED,
   DSP_OPEN_JOBS,
+  DSP_ABANDONED_RUNS,
   DSP_WAITING_MCORE_MS,
   DSP_CONFIG_VERSION,
   DSP_COUNTERS
@@ -128,6 +130,7 @@
   uint64_t incarnation;
   gsl_rng *rng;
   struct jtb_table jobs;
+  struct abd_runs abandoned;
   struct bkl_backlog backlog; /* late jobs without any order */
   struct flt_fleet fleet;
   struct crl_log crashes;       /* times by clk_boot() */
--- a/src/dispatch_agents.c
+++ b/src/dispatch_agents.c
@@ -68,7 +68,11 @@
   const struct dsp_caller *caller;
 
   if (task == NULL)
-    return;
+    {
+      if (abd_ended (&d->abandoned, end->run))
+        dsp_schedule_placement (d);
+      return;
+    }
   job = task->job;
   caller = job->priv;
   if (end->how == LVP_HOW_DONE || counts_for_health (end->how))
@@ -155,6 +159,19 @@
   }
 }
 
+/* The same for the runs there of jobs that are gone.  */
+static void
+reconcile_abandoned (struct dsp_dispatch *d, const struct flt_agent *a,
+                     const lvp_join *join)
+{
+  bool ours = join->entry == d->incarnation;
+  uint64_t others_ended_by_ns
+      = join->report.synced ? 0 : lbd_runs_ended_by (clk_boot ());
+
+  abd_agent_listed (&d->abandoned, a, join->runs.runs_val,
+                    ours ? join->runs.runs_len : 0, others_ended_by_ns);
+}
+
 /* Stop the runs in JOIN of agent A that belong to no open task any more: their
    job has ended, or they were counted as ended, while A was not connected, so
    that their stop could not be sent or was lost.  */
@@ -225,6 +242,7 @@
             a->name, (unsigned long long)a->incarnation, join.runs.runs_len,
             a->synced, a->accepting, a->total.mcores, a->free.mcores);
   reconcile (d, a, &join);
+  reconcile_abandoned (d, a, &join);
   res.incarnation = d->incarnation;
   res.report = make_report_res (d, endpoints, 0);
   onc_reply (conn, xid, (xdrproc_t)xdr_lvp_join_res, &res);
@@ -401,6 +419,7 @@
 {
   flt_mark_lost (a);
   jtb_mark_unreachable (&d->jobs, a, a->runs_end_by_ns);
+  abd_agent_lost (&d->abandoned, a, a->runs_end_by_ns);
   log_line (LOGL_INFO, "agent-lost",
             "agent=%s why=\"%s\" heard_ms=%llu runs_end_in_ms=%llu", a->name,
             why,
--- a/src/dispatch_jobs.c
+++ b/src/dispatch_jobs.c
@@ -21,10 +21,30 @@
 /* Time before the end of the process in which answers are still sent, ns.  */
 #define LAST_ANSWERS_NS (200 * CLK_MS)
 
+/* Remember the runs of JOB that may still be there.  */
+static void
+abandon_runs (struct dsp_dispatch *d, const struct jtb_job *job)
+{
+  uint32_t i;
+
+  for (i = 0; i < job->count; i++)
+    {
+      const struct jtb_task *task = &job->tasks[i];
+
+      if (task->state == JTB_PLACED)
+        abd_add (&d->abandoned, lv_slice_of (job->id), task->run, task->agent,
+                 ABD_UNTIL_REPORTED);
+      else if (task->state == JTB_UNREACHABLE)
+        abd_add (&d->abandoned, lv_slice_of (job->id), task->run, task->agent,
+                 task->runs_until_ns);
+    }
+}
+
 static void
 remove_job (struct dsp_dispatch *d, struct jtb_job *job)
 {
   dsp_stop_runs (d, job);
+  abandon_runs (d, job);
   jtb_remove (&d->jobs, job);
 }
 
--- a/src/dispatch_place.c
+++ b/src/dispatch_place.c
@@ -310,7 +310,8 @@
   {
     bool confined = dsp_is_confined (d, job);
 
-    if (is_blocked (&blocked, job->service, confined))
+    if (is_blocked (&blocked, job->service, confined)
+        || abd_any (&d->abandoned, lv_slice_of (job->id)))
       continue;
     if (strcmp (service, job->service) != 0 || confined != listed_confined)
       count = dsp_list_candidates (d, lv_slice_of (job->service), confined);
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -270,6 +270,27 @@
         self.check_rules(c)
 
 
+    # Guards against an entry that forgets what it has withdrawn while the stops
+    # are under way, and places the same job elsewhere.
+    def test_a_job_sent_again_at_once_waits_for_its_former_runs(self):
+        c = self.ready()
+        for stop_ms, delay_s, leave_s in (
+                (0, 0, 0.1), (0, 0.02, 0.1), (SLOW_STOP_MS, 0, 0.1),
+                (SLOW_STOP_MS, 0.02, 0.1), (SLOW_STOP_MS, 0.2, 0.1),
+                (SLOW_STOP_MS, 0, 0.005), (NO_STOP_MS, 0, 0.1)):
+            for minion in c.minions:
+                c.set_mode(minion, stop_ms=stop_ms)
+            with self.subTest(stop_ms=stop_ms, delay_s=delay_s):
+                name = os.urandom(8).hex()
+                for _ in range(3):
+                    c.submit(0, job(count=4, run_ms=400), name,
+                             timeout=leave_s)
+                    time.sleep(delay_s)
+                self.assertEqual(c.submit(0, job(count=4, run_ms=50),
+                                          name)[0], 200)
+        self.check_rules(c)
+
+
 class Configuration(PlatformTest):
     def test_queue_changes_apply_in_time(self):
         c = self.ready()
