Operators can drain a failure domain; one notion of what takes no new work

Change: drain (module) holds the drained domains with their position in the log; dispatchers read, pass on and apply them in placement and admission, agents refuse orders by what any entry told them. Jobs that fit only drained agents are refused at once. A log that was set back gives nothing back.

--- a/include/lagoonvale/candidate.h
+++ b/include/lagoonvale/candidate.h
@@ -19,7 +19,8 @@
 
 /**
  * struct cnd_candidate - an agent as a candidate for a task
- * @same_service: provides the job's service, whether or not it takes orders
+ * @same_service: provides the job's service in a failure domain that is not
+ * drained, whether or not it takes orders
  * @usable: provides the job's service and takes orders: connected and healthy
  * @same_domain: in the entry's own failure domain
  * @total: resources of its backend server
--- a/proto/lvproto.x
+++ b/proto/lvproto.x
@@ -187,6 +187,7 @@
 const LVP_LOST_MAX = 256;
 const LVP_REMOVED_MAX = 256;
 const LVP_PAGE_QUEUES_MAX = 256;
+const LVP_DOMAINS_MAX = 256;
 
 struct lvp_amount
 {
@@ -222,6 +223,7 @@
   lvp_amount free;
   unsigned int confirmed_ms;	/* age of the newest report that was answered */
   lvp_use use;
+  bool drained;			/* its failure domain is, as far as it knows */
   unsigned int ratio_permille;	/* actual to declared run time, recent runs */
   unsigned int ratio_runs;	/* runs of this life of the backend server */
 };
@@ -231,6 +233,8 @@
   bool hungry;			/* its tasks wait for capacity */
   unsigned hyper digest;	/* of the list of entries here */
   lvp_endpoints entries;	/* empty if the report had this digest */
+  unsigned hyper drain_position;	/* that @drained holds at, 0: unknown */
+  bool drained;			/* the agent's failure domain is */
 };
 
 enum lvp_how
@@ -366,6 +370,13 @@
   lvp_queue queues<LVP_PAGE_QUEUES_MAX>;
 };
 
+/* The failure domains that operators have drained, see struct drn_domains.  */
+struct lvp_drains
+{
+  unsigned hyper position;
+  lvp_name domains<LVP_DOMAINS_MAX>;
+};
+
 /* Between entries.  */
 struct lvp_peer
 {
@@ -376,6 +387,7 @@
   unsigned hyper known;		/* digest of the receiver's list, or 0 */
   unsigned hyper digest;	/* of the list of entries here */
   lvp_endpoints entries;	/* empty if the receiver has it */
+  lvp_drains drains;
 };
 
 program LVP_PROG
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -39,6 +39,12 @@
   { "lagoonvale_open_jobs", "jobs that are not answered yet", true },
   { "lagoonvale_abandoned_runs",
     "runs of jobs that are answered or withdrawn, being stopped", true },
+  { "lagoonvale_drained_domains", "failure domains that operators drained",
+    true },
+  { "lagoonvale_drained_agents", "agents known in these", true },
+  { "lagoonvale_jobs_drained_total",
+    "jobs not run because only agents of drained domains could hold them",
+    false },
   { "lagoonvale_waiting_mcore_ms", "declared work that waits", true },
   { "lagoonvale_config_version", "configuration in force", true },
 };
@@ -166,7 +172,7 @@
   d->logged_ns = now_ns;
   DL_FOREACH (d->fleet.agents, a)
   {
-    if (!flt_accepts_orders (a))
+    if (!flt_accepts_orders (a) || flt_is_drained (a))
       continue;
     open++;
     amt_add (&total, &a->total);
@@ -194,6 +200,17 @@
   return n;
 }
 
+static unsigned
+count_drained (const struct dsp_dispatch *d)
+{
+  const struct flt_agent *a;
+  unsigned n = 0;
+
+  DL_FOREACH (d->fleet.agents, a)
+  n += flt_is_drained (a);
+  return n;
+}
+
 static void
 tick (void *priv)
 {
@@ -217,6 +234,8 @@
   ctr_set_gauge (&d->counters, DSP_OPEN_JOBS, HASH_COUNT (d->jobs.jobs));
   ctr_set_gauge (&d->counters, DSP_ABANDONED_RUNS,
                  HASH_COUNT (d->abandoned.runs));
+  ctr_set_gauge (&d->counters, DSP_DRAINED_DOMAINS, d->drains.count);
+  ctr_set_gauge (&d->counters, DSP_DRAINED_AGENTS, count_drained (d));
   ctr_set_gauge (&d->counters, DSP_WAITING_MCORE_MS, d->jobs.waiting_mcore_ms);
   log_flush ();
 }
@@ -233,6 +252,19 @@
   return ((const struct dsp_dispatch *)priv)->config;
 }
 
+static const struct drn_domains *
+get_drains (void *priv)
+{
+  return &((const struct dsp_dispatch *)priv)->drains;
+}
+
+static void
+on_peer_drains (const struct lv_slice *names, unsigned count,
+                uint64_t position, const char *source, void *priv)
+{
+  dsp_replace_drains (priv, names, count, position, source);
+}
+
 void
 dsp_add_entry (struct dsp_dispatch *d, struct lv_slice address)
 {
@@ -258,7 +290,11 @@
 dsp_init (struct dsp_dispatch *d, void *mem_ctx, struct tevent_context *ev,
           const struct dsp_settings *settings)
 {
-  struct per_events events = { on_peer_config, get_config, d };
+  struct per_events events = { .config = on_peer_config,
+                               .current = get_config,
+                               .drains = on_peer_drains,
+                               .current_drains = get_drains,
+                               .priv = d };
   int rc;
 
   memset (d, 0, sizeof *d);
@@ -272,7 +308,8 @@
   d->placement = xtalloc_check (tevent_create_immediate (mem_ctx));
   jtb_init (&d->jobs, mem_ctx);
   abd_init (&d->abandoned, mem_ctx);
-  flt_init (&d->fleet, mem_ctx);
+  drn_init (&d->drains, mem_ctx);
+  flt_init (&d->fleet, mem_ctx, &d->drains);
   crl_init (&d->crashes, mem_ctx);
   blk_init (&d->bulkhead, mem_ctx);
   ctr_init (&d->counters, counter_descs, DSP_COUNTERS);
@@ -294,6 +331,7 @@
   jtb_finish (&d->jobs);
   abd_finish (&d->abandoned);
   flt_finish (&d->fleet);
+  drn_finish (&d->drains);
   crl_finish (&d->crashes);
   blk_finish (&d->bulkhead);
   hst_finish (&d->times);
@@ -317,6 +355,58 @@
             d->config->count, source);
 }
 
+/* Log what is drained now, and refuse at once what can run nowhere else.  */
+static void
+note_drains (struct dsp_dispatch *d, const char *source)
+{
+  char *names = talloc_strdup (NULL, "");
+  unsigned i;
+
+  for (i = 0; i < d->drains.count; i++)
+    names = talloc_asprintf_append (names, "%s%s", i > 0 ? "," : "",
+                                    d->drains.names[i]);
+  log_line (LOGL_INFO, "drained-domains",
+            "count=%u names=\"%s\" agents=%u position=%llu from=%s",
+            d->drains.count, names != NULL ? names : "?", count_drained (d),
+            (unsigned long long)d->drains.position, source);
+  talloc_free (names);
+  dsp_refuse_drained (d);
+  dsp_schedule_placement (d);
+}
+
+static bool
+same_names (const struct drn_domains *d, const struct lv_slice *names,
+            unsigned count)
+{
+  unsigned i;
+
+  for (i = 0; i < count; i++)
+    if (!drn_contains (d, names[i]))
+      return false;
+  return count == d->count;
+}
+
+void
+dsp_replace_drains (struct dsp_dispatch *d, const struct lv_slice *names,
+                    unsigned count, uint64_t position, const char *source)
+{
+  bool was_known = drn_known (&d->drains);
+  bool same = same_names (&d->drains, names, count);
+
+  if (!drn_replace (&d->drains, names, count, position))
+    return;
+  if (!same || !was_known)
+    note_drains (d, source);
+}
+
+void
+dsp_record_drain (struct dsp_dispatch *d, struct lv_slice domain, bool drained,
+                  uint64_t position)
+{
+  if (drn_record (&d->drains, domain, drained, position))
+    note_drains (d, "store");
+}
+
 bool
 dsp_reads_config (const struct dsp_dispatch *d)
 {
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -103,6 +103,9 @@
   DSP_AGENTS_JOINED,
   DSP_OPEN_JOBS,
   DSP_ABANDONED_RUNS,
+  DSP_DRAINED_DOMAINS,
+  DSP_DRAINED_AGENTS,
+  DSP_JOBS_DRAINED,
   DSP_WAITING_MCORE_MS,
   DSP_CONFIG_VERSION,
   DSP_COUNTERS
@@ -136,6 +139,7 @@
   struct crl_log crashes;       /* times by clk_boot() */
   struct blk_bulkhead bulkhead; /* times by clk_boot() */
   struct per_peers peers;
+  struct drn_domains drains;
   struct cat_config *config;
   struct dsp_waiter *waiters;
   struct tevent_immediate *placement;
@@ -173,6 +177,17 @@
 void dsp_apply_config (struct dsp_dispatch *d, struct cat_config *config,
                        const char *source);
 
+/** dsp_replace_drains() - take over the drained failure domains at @position,
+ * if that is newer than what is known. */
+void dsp_replace_drains (struct dsp_dispatch *d, const struct lv_slice *names,
+                         unsigned count, uint64_t position,
+                         const char *source);
+
+/** dsp_record_drain() - apply an operator's record that drains a failure
+ * domain, or ends that; it ends at @position. */
+void dsp_record_drain (struct dsp_dispatch *d, struct lv_slice domain,
+                       bool drained, uint64_t position);
+
 /** dsp_reads_config() - whether this entry is one of those that watch the
  * configuration for the others. */
 bool dsp_reads_config (const struct dsp_dispatch *d);
--- a/src/dispatch_agents.c
+++ b/src/dispatch_agents.c
@@ -198,11 +198,14 @@
 }
 
 static lvp_report_res
-make_report_res (struct dsp_dispatch *d, lvp_endpoint endpoints[PER_MAX],
-                 u_quad_t known)
+make_report_res (struct dsp_dispatch *d, const struct flt_agent *a,
+                 lvp_endpoint endpoints[PER_MAX], u_quad_t known)
 {
   lvp_report_res res = { 0 };
 
+  res.drain_position = d->drains.position;
+  res.drained = drn_contains (&d->drains, lv_slice_of (a->domain));
+
   res.hungry = d->jobs.queue != NULL;
   res.entries
       = per_list (&d->peers, clk_boot (), endpoints, known, &res.digest);
@@ -244,7 +247,7 @@
   reconcile (d, a, &join);
   reconcile_abandoned (d, a, &join);
   res.incarnation = d->incarnation;
-  res.report = make_report_res (d, endpoints, 0);
+  res.report = make_report_res (d, a, endpoints, 0);
   onc_reply (conn, xid, (xdrproc_t)xdr_lvp_join_res, &res);
   stop_orphans (d, a, &join);
   WIR_FREE (lvp_join, &join);
@@ -283,11 +286,11 @@
 }
 
 static void
-reply_report (struct dsp_dispatch *d, struct onc_conn *conn, uint32_t xid,
-              u_quad_t known)
+reply_report (struct dsp_dispatch *d, const struct flt_agent *a,
+              struct onc_conn *conn, uint32_t xid, u_quad_t known)
 {
   lvp_endpoint endpoints[PER_MAX];
-  lvp_report_res res = make_report_res (d, endpoints, known);
+  lvp_report_res res = make_report_res (d, a, endpoints, known);
 
   onc_reply (conn, xid, (xdrproc_t)xdr_lvp_report_res, &res);
 }
@@ -305,7 +308,7 @@
       return;
     }
   apply_report (d, a, &report);
-  reply_report (d, conn, xid, report.known);
+  reply_report (d, a, conn, xid, report.known);
 }
 
 void
@@ -324,7 +327,7 @@
   for (i = 0; i < ends.ends.lvp_end_list_len; i++)
     process_end (d, a, &ends.ends.lvp_end_list_val[i]);
   apply_report (d, a, &ends.report);
-  reply_report (d, conn, xid, ends.report.known);
+  reply_report (d, a, conn, xid, ends.report.known);
   WIR_FREE (lvp_ends, &ends);
 }
 
--- a/src/dispatch_jobs.c
+++ b/src/dispatch_jobs.c
@@ -14,6 +14,9 @@
 #define RETRY_ELSEWHERE_MS 1000
 /* Retry delay for jobs that fit into no agent now, but did before, ms.  */
 #define RETRY_SHRUNK_MS 1000
+/* Retry delay for jobs that only agents of drained failure domains could hold,
+   ms: a drain lasts for seconds at least.  */
+#define RETRY_DRAINED_MS 5000
 /* Retry delay for jobs of a confined queue, ms: until it may be released.  */
 #define RETRY_CONFINED_MS (BLK_RELEASE_NS / CLK_MS)
 /* For jobs that are never accepted as they are.  */
@@ -234,6 +237,39 @@
     refuse_accepted (d, job, why, retry_ms);
 }
 
+/* Whether NEED fits into agents of SERVICE only where nothing may be started
+   until an operator ends the drain.  Not known shortly after the start, when
+   others may not have joined yet.  */
+static bool
+fits_only_drained (struct dsp_dispatch *d, struct lv_slice service,
+                   const struct amt_amount *need)
+{
+  unsigned n;
+
+  if (d->drains.count == 0
+      || clk_since (clk_boot (), d->started_ns) < DSP_JOIN_GRACE_NS
+      || !flt_fits_drained (&d->fleet, service, need))
+    return false;
+  n = dsp_list_candidates (d, service, false);
+  return !cnd_any_could_fit (d->candidates, n, need);
+}
+
+void
+dsp_refuse_drained (struct dsp_dispatch *d)
+{
+  struct jtb_job *job;
+  struct jtb_job *next;
+
+  if (d->drains.count == 0)
+    return;
+  DL_FOREACH_SAFE (d->jobs.queue, job, next)
+  if (fits_only_drained (d, lv_slice_of (job->service), &job->need))
+    {
+      ctr_add (&d->counters, DSP_JOBS_DRAINED, 1);
+      give_up_job (d, job, "domain-drained", RETRY_DRAINED_MS);
+    }
+}
+
 /* Answer whatever is open when the process is about to end: what runs longer
    than its estimate may have been accepted during the shutdown.  */
 static void
@@ -262,6 +298,7 @@
   give_up_at_shutdown (d, now_ns);
   refuse_unmeetable (d, now_ns);
   refuse_confined (d);
+  dsp_refuse_drained (d);
 }
 
 static void
@@ -299,6 +336,23 @@
   return params;
 }
 
+/* Refuse JOB, which no agent that may get work could hold.  */
+static void
+refuse_unfitting (struct dsp_dispatch *d, const struct dsp_job *job)
+{
+  struct lv_slice service = lv_slice_of (job->queue->service);
+
+  if (fits_only_drained (d, service, &job->need))
+    {
+      ctr_add (&d->counters, DSP_JOBS_DRAINED, 1);
+      refuse (d, job, "domain-drained", RETRY_DRAINED_MS);
+    }
+  else if (flt_never_fits (&d->fleet, service, &job->need))
+    refuse (d, job, "no-agent-fits", RETRY_NEVER);
+  else
+    refuse (d, job, "no-agent-fits-now", RETRY_SHRUNK_MS);
+}
+
 /* Whether a task of JOB fits into any known agent when that is empty.  Assumed
    shortly after the start, when agents may not have joined yet.  */
 static bool
@@ -381,11 +435,7 @@
     }
   if (!any_agent_could_fit (d, job))
     {
-      bool never = flt_never_fits (
-          &d->fleet, lv_slice_of (job->queue->service), &job->need);
-
-      refuse (d, job, never ? "no-agent-fits" : "no-agent-fits-now",
-              never ? RETRY_NEVER : RETRY_SHRUNK_MS);
+      refuse_unfitting (d, job);
       return;
     }
   accepted = jtb_add (&d->jobs, &params, clk_boot ());
--- a/src/dispatch_parts.h
+++ b/src/dispatch_parts.h
@@ -123,6 +123,9 @@
 /** dsp_fail_job() - answer @job as failed, and stop what runs of it. */
 void dsp_fail_job (struct dsp_dispatch *d, struct jtb_job *job,
                    const char *why);
+/** dsp_refuse_drained() - answer the jobs with waiting tasks that only agents
+ * of drained failure domains could hold. */
+void dsp_refuse_drained (struct dsp_dispatch *d);
 /** dsp_expire_jobs() - answer jobs past their deadline, refuse jobs that
  * cannot start in time. */
 void dsp_expire_jobs (struct dsp_dispatch *d, uint64_t now_ns);
--- a/src/dispatch_place.c
+++ b/src/dispatch_place.c
@@ -248,7 +248,7 @@
     return;
   d->demand_sent_ns = now;
   DL_FOREACH (d->fleet.agents, a)
-  if (a->conn != NULL)
+  if (a->conn != NULL && !flt_is_drained (a))
     onc_call (a->conn, LVP_HUNGRY, (xdrproc_t)(void *)xdr_void, NULL, NULL,
               NULL);
 }
@@ -291,7 +291,8 @@
   blocked->item[blocked->count++] = new;
 }
 
-/* Place waiting tasks in queue order.  A job that does not fit now, but could
+/* Place waiting tasks in queue order, once it is known which failure domains
+   are drained.  A job that does not fit now, but could
    later, blocks the jobs behind it of the same service: small tasks would take
    all resources that become free, and large ones would starve.  */
 static void
@@ -304,6 +305,8 @@
   struct jtb_job *next;
   unsigned count = 0;
 
+  if (!drn_known (&d->drains))
+    return;
   jtb_demote_late (&d->jobs, clk_boot ());
   dsp_count_suspects (d);
   DL_FOREACH_SAFE (d->jobs.queue, job, next)
--- a/src/dispatch_risk.c
+++ b/src/dispatch_risk.c
@@ -180,6 +180,7 @@
   struct sst_member *members
       = xtalloc_array (NULL, struct sst_member, d->fleet.count);
   struct flt_agent *a;
+  unsigned open = 0;
   unsigned n = 0;
   unsigned i;
 
@@ -189,10 +190,11 @@
         continue;
       members[n].rank
           = sst_rank (lv_slice_of (a->service), lv_slice_of (a->name));
-      members[n].reachable = true;
+      members[n].reachable = !flt_is_drained (a);
+      open += members[n].reachable;
       members[n++].priv = a;
     }
-  sst_select (members, n, blk_share (n));
+  sst_select (members, n, blk_share (open));
   for (i = 0; i < n; i++)
     ((struct flt_agent *)members[i].priv)->confining = members[i].selected;
   talloc_free (members);
--- a/src/entry_link.c
+++ b/src/entry_link.c
@@ -6,6 +6,7 @@
 
 #include "clock.h"
 #include "entry_parts.h"
+#include "lagoonvale/drain.h"
 #include "logline.h"
 #include "net.h"
 #include "wire.h"
@@ -443,8 +444,12 @@
 ent_link_usable (const struct ent_link *link, const struct hlt_target *health,
                  const struct ent_task *task, uint64_t now_ns)
 {
-  return ent_link_ready (link) && !link->leaving
-         && ros_active_at (link->member, task->record->sid.roster)
-         && hlt_usable (health, now_ns)
-         && !in_drained_domain (link->entry, link);
+  struct drn_facts facts = { .agent_leaving = link->leaving };
+
+  if (!ent_link_ready (link)
+      || !ros_active_at (link->member, task->record->sid.roster)
+      || !hlt_usable (health, now_ns))
+    return false;
+  facts.domain_drained = in_drained_domain (link->entry, link);
+  return drn_cause_of (&facts) == DRN_NONE;
 }
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -23,10 +23,11 @@
 #define SLOWNESS_MAX 8.0
 
 void
-flt_init (struct flt_fleet *f, void *mem_ctx)
+flt_init (struct flt_fleet *f, void *mem_ctx, const struct drn_domains *drains)
 {
   memset (f, 0, sizeof *f);
   f->mem_ctx = mem_ctx;
+  f->drains = drains;
   f->ratio = 1;
   est_init (&f->estimates, mem_ctx);
 }
@@ -100,8 +101,34 @@
   return a;
 }
 
+bool
+flt_is_drained (const struct flt_agent *a)
+{
+  struct drn_facts facts
+      = { .domain_drained
+          = a->says_drained
+            || drn_contains (a->fleet->drains, lv_slice_of (a->domain)) };
+
+  return drn_cause_of (&facts) != DRN_NONE;
+}
+
+/* Agents that may get work.  */
+static unsigned
+count_undrained (const struct flt_fleet *f)
+{
+  const struct flt_agent *a;
+  unsigned n = f->count;
+
+  if (f->drains->count == 0)
+    return n;
+  DL_FOREACH (f->agents, a)
+  n -= flt_is_drained (a);
+  return n;
+}
+
 /* Take over what A's agent says of its minion's health.  What it says is not
-   followed while HLT_EJECT_SHARE of the agents are ejected already.  */
+   followed while HLT_EJECT_SHARE of the agents that may get work are ejected
+   already.  */
 static void
 apply_health (struct flt_agent *a, const lvp_report *report)
 {
@@ -113,7 +140,7 @@
              / ((double)report->ratio_runs + RATIO_PRIOR_RUNS);
   a->probe = report->use == LVP_USE_PROBE;
   if (ejected == a->ejected
-      || (ejected && f->ejected + 1 > HLT_EJECT_SHARE * f->count))
+      || (ejected && f->ejected + 1 > HLT_EJECT_SHARE * count_undrained (f)))
     return;
   a->ejected = ejected;
   f->ejected += ejected ? 1 : -1U;
@@ -136,6 +163,7 @@
   a->confirmed_ms = report->confirmed_ms;
   a->synced = report->synced;
   a->accepting = report->accepting;
+  a->says_drained = report->drained;
   a->total = wir_to_amount (&report->total);
   amt_raise (&a->peak, &a->total);
   a->free = wir_to_amount (&report->free);
@@ -221,7 +249,8 @@
 {
   struct cnd_candidate c = { 0 };
 
-  c.same_service = lv_slice_eq (lv_slice_of (a->service), service);
+  c.same_service
+      = lv_slice_eq (lv_slice_of (a->service), service) && !flt_is_drained (a);
   c.usable = c.same_service && flt_accepts_orders (a) && a->synced
              && lbd_is_fresh (a->last_report_ns, now_ns)
              && lbd_may_order (a->confirmed_ms) && (!a->ejected || a->probe);
@@ -234,6 +263,19 @@
   return c;
 }
 
+bool
+flt_fits_drained (const struct flt_fleet *f, struct lv_slice service,
+                  const struct amt_amount *need)
+{
+  const struct flt_agent *a;
+
+  DL_FOREACH (f->agents, a)
+  if (lv_slice_eq (lv_slice_of (a->service), service) && flt_is_drained (a)
+      && amt_fits (&a->total, need))
+    return true;
+  return false;
+}
+
 bool
 flt_never_fits (const struct flt_fleet *f, struct lv_slice service,
                 const struct amt_amount *need)
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -9,6 +9,7 @@
 #define LV_FLEET_H
 
 #include "lagoonvale/candidate.h"
+#include "lagoonvale/drain.h"
 #include "lagoonvale/leasebounds.h"
 #include "lagoonvale/estimate.h"
 #include "lagoonvale/health.h"
@@ -50,6 +51,7 @@
  * @silence_number: of its notice of a silence of which no more is known, or 0
  * @suspects: runs of this entry there that are suspected of crashing it
  * @confining: kept for queues whose tasks crash their minions
+ * @says_drained: its failure domain is drained, as it says itself
  */
 struct flt_agent
 {
@@ -80,6 +82,7 @@
   uint64_t silence_number;
   unsigned suspects;
   bool confining;
+  bool says_drained;
   struct flt_agent *prev;
   struct flt_agent *next;
 };
@@ -89,6 +92,7 @@
  * @ejected: number of agents that are ejected, at most HLT_EJECT_SHARE
  * @estimates: run time and failure rate, by name of the queue
  * @ratio: smoothed ratio of actual to declared run time, of all agents
+ * @drains: the drained failure domains; borrowed
  */
 struct flt_fleet
 {
@@ -98,10 +102,12 @@
   unsigned ejected;
   struct est_table estimates;
   double ratio;
+  const struct drn_domains *drains;
 };
 
 /** flt_init() - initialize without agents. */
-void flt_init (struct flt_fleet *f, void *mem_ctx);
+void flt_init (struct flt_fleet *f, void *mem_ctx,
+               const struct drn_domains *drains);
 
 /** flt_finish() - free all agents. */
 void flt_finish (struct flt_fleet *f);
@@ -144,7 +150,11 @@
 void flt_record_run (struct flt_fleet *f, struct lv_slice queue, bool ok,
                      uint32_t ran_ms, uint32_t estimate_ms);
 
-/** flt_accepts_orders() - whether @agent is connected and takes orders. */
+/** flt_is_drained() - whether the failure domain of @agent is drained. */
+bool flt_is_drained (const struct flt_agent *agent);
+
+/** flt_accepts_orders() - whether @agent is connected and takes orders, unless
+ * its failure domain is drained. */
 static inline bool
 flt_accepts_orders (const struct flt_agent *agent)
 {
@@ -157,6 +167,11 @@
 bool flt_never_fits (const struct flt_fleet *f, struct lv_slice service,
                      const struct amt_amount *need);
 
+/** flt_fits_drained() - whether @need is within the resources of an agent of
+ * @service whose failure domain is drained. */
+bool flt_fits_drained (const struct flt_fleet *f, struct lv_slice service,
+                       const struct amt_amount *need);
+
 /** flt_candidate() - @agent as a candidate for tasks of @service. */
 struct cnd_candidate flt_candidate (const struct flt_agent *agent,
                                     struct lv_slice service,
--- a/src/lvproto.h
+++ b/src/lvproto.h
@@ -221,6 +221,7 @@
 #define LVP_LOST_MAX 256
 #define LVP_REMOVED_MAX 256
 #define LVP_PAGE_QUEUES_MAX 256
+#define LVP_DOMAINS_MAX 256
 
 struct lvp_amount {
 	u_int mcores;
@@ -257,6 +258,7 @@
 	lvp_amount free;
 	u_int confirmed_ms;
 	lvp_use use;
+	bool_t drained;
 	u_int ratio_permille;
 	u_int ratio_runs;
 };
@@ -266,6 +268,8 @@
 	bool_t hungry;
 	u_quad_t digest;
 	lvp_endpoints entries;
+	u_quad_t drain_position;
+	bool_t drained;
 };
 typedef struct lvp_report_res lvp_report_res;
 
@@ -418,6 +422,15 @@
 };
 typedef struct lvp_config lvp_config;
 
+struct lvp_drains {
+	u_quad_t position;
+	struct {
+		u_int domains_len;
+		lvp_name *domains_val;
+	} domains;
+};
+typedef struct lvp_drains lvp_drains;
+
 struct lvp_peer {
 	lvp_endpoint self;
 	u_quad_t incarnation;
@@ -426,6 +439,7 @@
 	u_quad_t known;
 	u_quad_t digest;
 	lvp_endpoints entries;
+	lvp_drains drains;
 };
 typedef struct lvp_peer lvp_peer;
 
@@ -608,6 +622,7 @@
 extern  bool_t xdr_lvp_queue (XDR *, lvp_queue*);
 extern  bool_t xdr_lvp_config_req (XDR *, lvp_config_req*);
 extern  bool_t xdr_lvp_config (XDR *, lvp_config*);
+extern  bool_t xdr_lvp_drains (XDR *, lvp_drains*);
 extern  bool_t xdr_lvp_peer (XDR *, lvp_peer*);
 
 #else /* K&R C */
@@ -657,6 +672,7 @@
 extern bool_t xdr_lvp_queue ();
 extern bool_t xdr_lvp_config_req ();
 extern bool_t xdr_lvp_config ();
+extern bool_t xdr_lvp_drains ();
 extern bool_t xdr_lvp_peer ();
 
 #endif /* K&R C */
--- a/src/lvproto_xdr.c
+++ b/src/lvproto_xdr.c
@@ -495,6 +495,8 @@
 		 return FALSE;
 	 if (!xdr_lvp_use (xdrs, &objp->use))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->drained))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->ratio_permille))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->ratio_runs))
@@ -513,6 +515,10 @@
 		 return FALSE;
 	 if (!xdr_lvp_endpoints (xdrs, &objp->entries))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->drain_position))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->drained))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -885,6 +891,19 @@
 	return TRUE;
 }
 
+bool_t
+xdr_lvp_drains (XDR *xdrs, lvp_drains *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->position))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->domains.domains_val, (u_int *) &objp->domains.domains_len, LVP_DOMAINS_MAX,
+		sizeof (lvp_name), (xdrproc_t) xdr_lvp_name))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_lvp_peer (XDR *xdrs, lvp_peer *objp)
 {
@@ -904,5 +923,7 @@
 		 return FALSE;
 	 if (!xdr_lvp_endpoints (xdrs, &objp->entries))
 		 return FALSE;
+	 if (!xdr_lvp_drains (xdrs, &objp->drains))
+		 return FALSE;
 	return TRUE;
 }
--- a/src/peers.c
+++ b/src/peers.c
@@ -123,6 +123,19 @@
   return list;
 }
 
+static void
+apply_drains (struct per_peers *p, const lvp_peer *in)
+{
+  struct lv_slice names[LVP_DOMAINS_MAX];
+  char source[NET_TEXT_MAX];
+  u_int i;
+
+  for (i = 0; i < in->drains.domains.domains_len; i++)
+    names[i] = lv_slice_of (in->drains.domains.domains_val[i]);
+  net_format (in->self.addr, in->self.port, source);
+  p->events.drains (names, i, in->drains.position, source, p->events.priv);
+}
+
 /* Handles the exchange IN, from a call or a reply.  */
 static void
 apply_exchange (struct per_peers *p, const lvp_peer *in, uint64_t now_ns)
@@ -130,6 +143,7 @@
   struct per_peer *peer;
   u_int i;
 
+  apply_drains (p, in);
   per_add (p, &in->self, now_ns);
   for (i = 0; i < in->entries.lvp_endpoints_len; i++)
     per_add (p, &in->entries.lvp_endpoints_val[i], now_ns);
@@ -145,8 +159,12 @@
 make_exchange (const struct per_peers *p, uint64_t now_ns,
                lvp_endpoint buf[PER_MAX], u_quad_t known)
 {
+  const struct drn_domains *drains = p->events.current_drains (p->events.priv);
   lvp_peer out = { 0 };
 
+  out.drains.position = drains->position;
+  out.drains.domains.domains_len = drains->count;
+  out.drains.domains.domains_val = drains->names;
   out.self = p->self;
   out.incarnation = p->incarnation;
   out.config = per_version (p);
--- a/src/peers.h
+++ b/src/peers.h
@@ -10,6 +10,7 @@
 #include <tevent.h>
 
 #include "lagoonvale/confsync.h"
+#include "lagoonvale/drain.h"
 #include "lagoonvale/pacer.h"
 #include "lvproto.h"
 #include "onc.h"
@@ -21,11 +22,16 @@
  * struct per_events - callbacks
  * @config: a newer configuration arrived from a peer; takes over @config
  * @current: the configuration in force here, or NULL
+ * @drains: a peer knows the drained failure domains @names at @position
+ * @current_drains: those known here
  */
 struct per_events
 {
   void (*config) (struct cat_config *config, const char *source, void *priv);
   const struct cat_config *(*current) (void *priv);
+  void (*drains) (const struct lv_slice *names, unsigned count,
+                  uint64_t position, const char *source, void *priv);
+  const struct drn_domains *(*current_drains) (void *priv);
   void *priv;
 };
 
--- a/src/runner.c
+++ b/src/runner.c
@@ -40,6 +40,9 @@
     "times that the lease was not renewed, since runs given up were not "
     "stopped in time",
     false },
+  { "lagoonvale_drained", "1 while this failure domain is drained", true },
+  { "lagoonvale_runs_drained_total",
+    "orders refused since this failure domain is drained", false },
   { "lagoonvale_runs", "runs in the book", true },
   { "lagoonvale_free_mcores", "room for further runs", true },
 };
@@ -120,6 +123,7 @@
       DL_FOREACH (r->sessions, s)
       rtk_give_up_owner (&r->tracker, s->incarnation, now);
     }
+  ctr_set_gauge (&r->counters, RNR_DRAINED, r->domain_drained);
   ctr_set_gauge (&r->counters, RNR_RUNNING, HASH_COUNT (r->tracker.runs));
   ctr_set_gauge (&r->counters, RNR_FREE_MCORES, left.mcores);
   log_flush ();
--- a/src/runner.h
+++ b/src/runner.h
@@ -13,6 +13,7 @@
 #include <tevent.h>
 
 #include "lagoonvale/counter.h"
+#include "lagoonvale/drain.h"
 #include "lagoonvale/fencetoken.h"
 #include "lagoonvale/histogram.h"
 #include "lagoonvale/leasebounds.h"
@@ -65,6 +66,8 @@
   RNR_CRASHES,
   RNR_LOST,
   RNR_LEASES_WITHHELD,
+  RNR_DRAINED,
+  RNR_DRAIN_REFUSALS,
   RNR_RUNNING,
   RNR_FREE_MCORES,
   RNR_COUNTERS
@@ -142,6 +145,8 @@
   uint64_t loss_count;
   bool leaving;
   uint64_t leaving_ns;
+  uint64_t drain_position; /* that @domain_drained holds at, 0: unknown */
+  bool domain_drained;
   uint64_t started_ns; /* 0 after the first join */
   struct ctr_set counters;
   struct hst_set times;
--- a/src/runner_discovery.c
+++ b/src/runner_discovery.c
@@ -55,6 +55,25 @@
   return s;
 }
 
+/* Take over what ANSWER says of this failure domain, if that is newer than
+   what is known.  */
+static void
+apply_drain (struct rnr_session *s, const lvp_report_res *answer)
+{
+  struct rnr_runner *r = s->runner;
+  bool was_drained = r->domain_drained;
+
+  if (answer->drain_position <= r->drain_position)
+    return;
+  r->drain_position = answer->drain_position;
+  r->domain_drained = answer->drained;
+  if (r->domain_drained != was_drained)
+    log_line (LOGL_INFO, "domain-drained",
+              "drained=%d position=%llu from=%s runs=%u", r->domain_drained,
+              (unsigned long long)r->drain_position, s->address,
+              HASH_COUNT (r->tracker.runs));
+}
+
 void
 rnr_apply_answer (struct rnr_session *s, const lvp_report_res *answer)
 {
@@ -62,6 +81,7 @@
   uint64_t now = clk_boot ();
   u_int i;
 
+  apply_drain (s, answer);
   s->has_backlog = answer->hungry;
   s->list_digest = answer->digest;
   if (entries->lvp_endpoints_len > 0)
--- a/src/runner_entries.c
+++ b/src/runner_entries.c
@@ -32,7 +32,9 @@
   uint64_t now = clk_boot ();
   bool fresh = lbd_is_fresh (order->stamp_ms * CLK_MS, now)
                && lbd_is_fresh (s->confirmed_ns, now);
-  bool open = rnr_accepting (r, now);
+  bool able = rnr_able (r, now);
+  enum drn_cause cause = rnr_drain_cause (r, NULL);
+  bool open = able && cause == DRN_NONE;
   u_int i;
 
   s->orders++;
@@ -41,7 +43,10 @@
   if (!fresh || !open)
     log_line (LOGL_INFO, "order-refused",
               "job=%s tasks=%u why=%s stamp_age_ms=%llu confirmed_age_ms=%llu",
-              order->job, order->runs.runs_len, fresh ? "leaving" : "stale",
+              order->job, order->runs.runs_len,
+              !fresh  ? "stale"
+              : !able ? "minion-not-able"
+                      : drn_cause_name (cause),
               (unsigned long long)(now / CLK_MS - order->stamp_ms),
               (unsigned long long)(clk_since (now, s->confirmed_ns) / CLK_MS));
   for (i = 0; i < order->runs.runs_len; i++)
@@ -50,6 +55,8 @@
     else
       rnr_keep_end (r, s->incarnation, order->runs.runs_val[i].run,
                     fresh ? LVP_HOW_LEAVING : LVP_HOW_STALE, 0);
+  if (fresh && cause == DRN_DOMAIN)
+    ctr_add (&r->counters, RNR_DRAIN_REFUSALS, order->runs.runs_len);
   if (!fresh)
     ctr_add (&r->counters, RNR_STALE, order->runs.runs_len);
   rnr_send_ends (s);
--- a/src/runner_minion.c
+++ b/src/runner_minion.c
@@ -75,12 +75,23 @@
             r->tracker.stops_open, lease_left_ms (r));
 }
 
+enum drn_cause
+rnr_drain_cause (const struct rnr_runner *r, const struct rnr_session *s)
+{
+  struct drn_facts facts = { .agent_leaving = r->leaving,
+                             .server_leaving = r->minion.leaving,
+                             .entry_retired = s != NULL && s->retiring_ns != 0,
+                             .domain_drained = r->domain_drained };
+
+  return drn_cause_of (&facts);
+}
+
 bool
-rnr_accepting (const struct rnr_runner *r, uint64_t now_ns)
+rnr_able (const struct rnr_runner *r, uint64_t now_ns)
 {
   const struct rnr_minion *m = &r->minion;
 
-  return !r->leaving && !m->leaving && m->runs_known && m->incarnation != 0
+  return m->runs_known && m->incarnation != 0
          && m->report_incarnation == m->incarnation && !rnr_report_outdated (r)
          && clk_since (now_ns, m->poll_answered_ns) < RNR_MINION_TIMEOUT_NS
          && has_lease (r);
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -184,8 +184,12 @@
 /** rnr_report_outdated() - whether the last report of the minion is too old to
  * go by: its capacity may have shrunk since. */
 bool rnr_report_outdated (const struct rnr_runner *r);
-/** rnr_accepting() - whether starts are accepted now. */
-bool rnr_accepting (const struct rnr_runner *r, uint64_t now_ns);
+/** rnr_able() - whether the minion can be sent starts, whoever asks. */
+bool rnr_able (const struct rnr_runner *r, uint64_t now_ns);
+/** rnr_drain_cause() - why the entry of @s, or NULL for any, must not have
+ * work started here. */
+enum drn_cause rnr_drain_cause (const struct rnr_runner *r,
+                                const struct rnr_session *s);
 /** rnr_note_lease() - log when the lease is no longer renewed, and when it is
  * again. */
 void rnr_note_lease (struct rnr_runner *r);
--- a/src/runner_reports.c
+++ b/src/runner_reports.c
@@ -31,10 +31,13 @@
 {
   struct amt_amount left = rtk_free_amount (&r->tracker);
   const struct mnh_health *health = &r->minion.health;
+  enum drn_cause cause = rnr_drain_cause (r, s);
   lvp_report report
       = { .stamp_ms = now_ns / CLK_MS,
           .synced = r->minion.runs_known && r->tracker.unknown_runs == 0,
-          .accepting = rnr_accepting (r, now_ns) && s->retiring_ns == 0,
+          .accepting
+          = rnr_able (r, now_ns) && (cause == DRN_NONE || cause == DRN_DOMAIN),
+          .drained = r->domain_drained,
           .orders = s->orders,
           .confirmed_ms
           = s->joined ? (u_int)(clk_since (now_ns, s->confirmed_ns) / CLK_MS)
--- a/src/runner_runs.c
+++ b/src/runner_runs.c
@@ -99,7 +99,7 @@
 
   rnr_record_result (r, result, "start", call->sent_ns);
   if (open && result->answer == MNN_UNANSWERED && call->sendings < SENDINGS_MAX
-      && rnr_accepting (r, clk_boot ()))
+      && rnr_able (r, clk_boot ()) && rnr_drain_cause (r, NULL) == DRN_NONE)
     {
       send_start (call, run);
       return;
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -7,7 +7,8 @@
 /test/put?key=K with a value appends a record to keyed.op, and POST
 /test/mode?mode=M sets the result of calls: "ok", "busy" (503), "silent" (no
 answer), "cut" (reads are truncated), "gone" (reads get 410), "late" (appends
-take effect after LATE_S).
+take effect after LATE_S).  POST /test/rewind?records=N loses the last N records
+of keyed.op.
 """
 import asyncio
 import base64
@@ -71,6 +72,9 @@
         if path == "/test/put":
             await self.put("keyed.op", args["key"], body)
             return 200, {}
+        if path == "/test/rewind":
+            del self.records["keyed.op"][-int(args["records"]):]
+            return 200, {}
         if path == "/test/mode":
             self.mode = args["mode"]
             return 200, {}
--- a/tools/deploy_check.py
+++ b/tools/deploy_check.py
@@ -23,21 +23,28 @@
             "agent.json": "lagoonvale-runner"}
 
 
-def look_up(name, fields):
+def find(name, fields):
+    """The value of NAME, None if there is none."""
     for part in name.split("."):
-        fields = fields[part]
-    return str(fields)
+        fields = (fields or {}).get(part)
+    return fields
+
+
+def look_up(name, fields):
+    value = find(name, fields)
+    return "" if value is None else str(value)
 
 
 def render_section(match, fields):
-    rows = fields[match.group(1)]
+    value = find(match.group(1), fields)
+    rows = value if isinstance(value, list) else [str(value)] * bool(value)
     return "".join(match.group(2).replace("{{.}}", row).replace(
         "{{,}}", "," if i + 1 < len(rows) else "")
         for i, row in enumerate(rows))
 
 
 def render(text, fields):
-    text = re.sub(r"\{\{#(\w+)\}\}(.*?)\{\{/\1\}\}",
+    text = re.sub(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}",
                   lambda m: render_section(m, fields), text, flags=re.S)
     return re.sub(r"\{\{([\w.]+)\}\}", lambda m: look_up(m.group(1), fields),
                   text)
@@ -47,10 +54,13 @@
     failed = 0
     with tempfile.TemporaryDirectory() as directory:
         for template, program in PROGRAMS.items():
-            for seeds in (FIELDS["seeds"], []):
+            for seeds, more in ((FIELDS["seeds"], {}),
+                                ([], {"evacuate_ms": 5000})):
+                fields = dict(FIELDS, seeds=seeds,
+                              bounds=dict(FIELDS["bounds"], **more))
                 with open(os.path.join(ROOT, "deploy/templates",
                                        template)) as f:
-                    text = render(f.read(), dict(FIELDS, seeds=seeds))
+                    text = render(f.read(), fields)
                 json.loads(text)
                 path = os.path.join(directory, template)
                 with open(path, "w") as f:
