--- a/tests/process/test_crowds.py
+++ b/tests/process/test_crowds.py
@@ -18,6 +18,7 @@
 # Connections of a crowd, and the longest body that the pages allow.
 CROWD = 200
 BODY_MAX = 262144
+TASKS_MAX = 990
 # Limits in the settings of the process under test, and what it may use: a
 # process without a crowd has at most 12 MB and 60 descriptors.
 BODIES_KB = 4096
@@ -55,9 +56,9 @@
             + chunk * (total // size))
 
 
-def whole(path, body):
+def whole(path, body, length=BODY_MAX):
     data = json.dumps(body).encode()
-    data += b" " * (BODY_MAX - len(data))
+    data += b" " * max(0, length - len(data))
     return head(path, "Content-Length: %d" % len(data)) + data
 
 
@@ -126,7 +127,7 @@
                         "%d descriptors, %.1f MB" % (fds, memory_mb))
 
 
-def crowds(path, large_job):
+def crowds(path, large_job, small_job, wide_job):
     """Name, request of each connection, bytes sent in turn (None: all)."""
     def name(i):
         return path % i
@@ -146,6 +147,10 @@
         ("legal and whole", lambda i: whole(name(i), large_job(i)), None),
         ("legal and whole, piece by piece", lambda i: whole(
             name(i), large_job(i)), 8192),
+        ("legal and whole, with little in it", lambda i: whole(
+            name(i), small_job), None),
+        ("legal and short, of very many tasks", lambda i: whole(
+            name(i), wide_job, 0), None),
         ("a header without an end", lambda i: head(name(i))[:-2], None),
     ]
 
@@ -154,7 +159,9 @@
     # Guards against a dispatcher that runs out of memory or descriptors
     # through bodies that it holds for clients which send no end.
     def test_a_dispatcher_outlives_each_crowd(self):
-        for what, request, piece in crowds("/rush/%016x", self.waiting_job):
+        for what, request, piece in crowds(
+                "/rush/%016x", self.waiting_job, job(run_ms=400, mcores=4000),
+                job(count=TASKS_MAX, run_ms=400, mcores=4000)):
             with self.subTest(what=what):
                 c = PlatformCluster(entries=1, agents=1, mcores=4000,
                                     entry=limits("lagoonvale-dispatcher"))
@@ -177,7 +184,9 @@
 class Entry(CrowdTest):
     # The same for the entry of the other interface.
     def test_an_entry_outlives_each_crowd(self):
-        for what, request, piece in crowds("/v1/jobs?n=%d", self.large_job):
+        for what, request, piece in crowds(
+                "/v1/jobs?n=%d", self.large_job, entry_job(1, 400),
+                entry_job(TASKS_MAX, 400)):
             with self.subTest(what=what):
                 c = Cluster(entries=1, agents=1,
                             entry=dict(limits("lagoonvale-entry", "http."),
