Clients that nobody controls: one budget for all bodies, places for connections

Cause: nothing bound all bodies together, a body of any length was read to its end, a job kept its body, payload and the state of 990 tasks until its answer, and 3,500 connections were allowed where 2,875 descriptors are there.

Change: clients (module) holds places and bytes; who has not completed a request for longest is dropped first, never one that has sent a whole request; 8 KiB of each body are free of the budget. Dispatcher: the body is freed once parsed, a payload has at most 4,000 bytes, open tasks are bounded. What is announced far too long is refused at once; 4 MiB too much are read so that the refusal arrives. The entry of the other interface has the same, under a lock. Settings connections_max, bodies_max_kb, open_tasks_max.

--- a/include/lagoonvale/jobtable.h
+++ b/include/lagoonvale/jobtable.h
@@ -148,6 +148,7 @@
  * @runs: tasks in JTB_PLACED and JTB_UNREACHABLE, by run number
  * @next_run: run number of the next order
  * @waiting_mcore_ms: declared work of all waiting tasks
+ * @tasks: number of tasks of all jobs
  */
 struct jtb_table
 {
@@ -157,6 +158,7 @@
   struct jtb_task *runs;
   uint64_t next_run;
   uint64_t waiting_mcore_ms;
+  uint64_t tasks;
 };
 
 /** jtb_init() - initialize an empty table. */
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -45,6 +45,10 @@
   { "lagoonvale_jobs_drained_total",
     "jobs not run because only agents of drained domains could hold them",
     false },
+  { "lagoonvale_clients", "HTTP connections", true },
+  { "lagoonvale_body_bytes", "memory that bodies of requests hold", true },
+  { "lagoonvale_clients_dropped_total",
+    "clients that lost their place for want of memory or connections", false },
   { "lagoonvale_waiting_mcore_ms", "declared work that waits", true },
   { "lagoonvale_config_version", "configuration in force", true },
 };
@@ -407,6 +411,14 @@
     note_drains (d, "store");
 }
 
+void
+dsp_note_clients (struct dsp_dispatch *d, const struct clt_clients *clients)
+{
+  ctr_set_gauge (&d->counters, DSP_CLIENTS, clients->count);
+  ctr_set_gauge (&d->counters, DSP_BODY_BYTES, clients->held);
+  ctr_set_gauge (&d->counters, DSP_CLIENTS_DROPPED, clients->dropped);
+}
+
 bool
 dsp_reads_config (const struct dsp_dispatch *d)
 {
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -20,6 +20,7 @@
 #include "lagoonvale/backlog.h"
 #include "lagoonvale/bulkhead.h"
 #include "lagoonvale/catalog.h"
+#include "lagoonvale/clients.h"
 #include "lagoonvale/counter.h"
 #include "lagoonvale/crashlog.h"
 #include "lagoonvale/histogram.h"
@@ -31,6 +32,7 @@
  * struct dsp_settings - settings of the dispatcher
  * @rpc: address to listen on for agents and other entries
  * @advertise: address at which they reach it
+ * @open_tasks_max: most tasks of all open jobs, 0 for no limit
  */
 struct dsp_settings
 {
@@ -39,6 +41,7 @@
   const char *rpc;
   const char *advertise;
   struct set_strings seeds;
+  uint64_t open_tasks_max;
 };
 
 /** enum dsp_outcome - outcome of a job for its caller */
@@ -106,6 +109,9 @@
   DSP_DRAINED_DOMAINS,
   DSP_DRAINED_AGENTS,
   DSP_JOBS_DRAINED,
+  DSP_CLIENTS,
+  DSP_BODY_BYTES,
+  DSP_CLIENTS_DROPPED,
   DSP_WAITING_MCORE_MS,
   DSP_CONFIG_VERSION,
   DSP_COUNTERS
@@ -188,6 +194,10 @@
 void dsp_record_drain (struct dsp_dispatch *d, struct lv_slice domain,
                        bool drained, uint64_t position);
 
+/** dsp_note_clients() - take @clients over into the metrics. */
+void dsp_note_clients (struct dsp_dispatch *d,
+                       const struct clt_clients *clients);
+
 /** dsp_reads_config() - whether this entry is one of those that watch the
  * configuration for the others. */
 bool dsp_reads_config (const struct dsp_dispatch *d);
--- a/src/dispatch_jobs.c
+++ b/src/dispatch_jobs.c
@@ -433,6 +433,12 @@
       refuse (d, job, "leaving", RETRY_ELSEWHERE_MS);
       return;
     }
+  if (d->set.open_tasks_max > 0
+      && d->jobs.tasks + job->count > d->set.open_tasks_max)
+    {
+      refuse (d, job, "too-many-tasks", overload_retry_ms (d, 0));
+      return;
+    }
   if (!any_agent_could_fit (d, job))
     {
       refuse_unfitting (d, job);
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <talloc.h>
 #include <unistd.h>
 #include <urcu-bp.h>
@@ -14,11 +15,24 @@
 #include "xtalloc.h"
 
 #define IDLE_TIMEOUT_S 120U
-#define CONNECTION_LIMIT 16384U
 /* Memory of each connection in libmicrohttpd, bytes: headers only.  */
 #define CONNECTION_BYTES ((size_t)8192)
 #define MINT_MAX 1000U
-#define READ_STEP 4096U
+#define READ_STEP ((size_t)4096)
+/* Connections of each thread beyond its part of the limit: the one that loses
+   its place for a new one is closed a moment later.  */
+#define CONNECTIONS_SPARE 16U
+#define BYTES_PER_KB 1024
+/* Bytes beyond the longest body that are read for the sake of the refusal: a
+   connection closed with unread data is reset, and the answer lost.  */
+#define DISCARD_MAX ((size_t)4 << 20)
+
+/* A connection of a caller, owned by its MHD thread.  */
+struct peer
+{
+  struct clt_client client; /* under clients_lock of the entry */
+  int fd;
+};
 
 /* One HTTP exchange.  Written by its MHD thread, except that the dispatch
    thread sets @reply before it resumes the connection.  */
@@ -26,9 +40,11 @@
 {
   struct ent_entry *entry;
   struct MHD_Connection *connection;
+  struct peer *peer;
   char *body;
   size_t len;
   size_t cap;
+  size_t discarded; /* bytes beyond the longest body */
   bool too_large;
   bool counted; /* in http_pending, until the response is sent */
   struct req_answer *reply;
@@ -169,6 +185,9 @@
 
   r->raw = xtalloc_memdup (r, x->body, x->len);
   r->raw_len = x->len;
+  /* The copy takes its place in the budget until the answer is sent.  */
+  free (x->body);
+  x->body = NULL;
   if (key != NULL)
     r->key = talloc_strdup (r, key);
   ctr_add (&x->entry->counters, ENT_REQUESTS, 1);
@@ -287,25 +306,136 @@
   return send_refusal (x, &why);
 }
 
+/* Close the connection of a caller that has lost its place; the lock is held,
+   so that its thread cannot close it meanwhile.  */
 static void
-append_body (struct exchange *x, const char *data, size_t len)
+close_client (const struct clt_client *client)
+{
+  const struct peer *peer = client->priv;
+
+  shutdown (peer->fd, SHUT_RDWR);
+}
+
+/* Let the body of X take BYTES, at the cost of other callers if need be.
+   Return: whether it may.  */
+static bool
+reserve (struct exchange *x, size_t bytes)
 {
-  if (x->len + len > REQ_BODY_MAX)
+  struct ent_entry *e = x->entry;
+  struct clt_client *victim;
+  bool granted;
+
+  pthread_mutex_lock (&e->clients_lock);
+  do
     {
-      x->too_large = true;
-      return;
+      granted = clt_reserve (&e->clients, &x->peer->client, bytes, &victim);
+      if (victim != NULL)
+        close_client (victim);
     }
-  if (x->len + len > x->cap)
+  while (victim != NULL);
+  pthread_mutex_unlock (&e->clients_lock);
+  return granted;
+}
+
+static void
+free_body (struct exchange *x)
+{
+  struct ent_entry *e = x->entry;
+
+  free (x->body);
+  x->body = NULL;
+  x->len = 0;
+  x->cap = 0;
+  pthread_mutex_lock (&e->clients_lock);
+  clt_release (&e->clients, &x->peer->client);
+  pthread_mutex_unlock (&e->clients_lock);
+}
+
+static bool
+grow_body (struct exchange *x, size_t len)
+{
+  size_t cap = x->cap > 0 ? x->cap : READ_STEP;
+  char *grown;
+
+  while (cap < len)
+    cap *= 2;
+  if (cap == x->cap)
+    return true;
+  if (!reserve (x, cap))
+    return false;
+  grown = realloc (x->body, cap);
+  if (grown == NULL)
+    return false;
+  x->body = grown;
+  x->cap = cap;
+  return true;
+}
+
+/* Return: whether the connection is to go on.  */
+static bool
+append_body (struct exchange *x, const char *data, size_t len)
+{
+  if (x->too_large || x->len + len > REQ_BODY_MAX)
     {
-      x->cap = (x->len + len) * 2;
-      if (x->cap < READ_STEP)
-        x->cap = READ_STEP;
-      x->body = realloc (x->body, x->cap);
-      if (x->body == NULL)
-        abort ();
+      if (!x->too_large)
+        free_body (x);
+      x->too_large = true;
+      x->discarded += len;
+      return x->discarded <= DISCARD_MAX;
     }
+  if (!grow_body (x, x->len + len))
+    return false;
   memcpy (x->body + x->len, data, len);
   x->len += len;
+  return true;
+}
+
+static enum MHD_Result
+refuse_too_large (struct exchange *x)
+{
+  struct req_refusal why;
+
+  req_refuse (&why, 413, "too_large", "accept", true,
+              "body longer than %u bytes", REQ_BODY_MAX);
+  return send_refusal (x, &why);
+}
+
+static bool
+announces_too_much (const struct exchange *x)
+{
+  const char *length = MHD_lookup_connection_value (
+      x->connection, MHD_HEADER_KIND, "Content-Length");
+
+  return length != NULL
+         && strtoull (length, NULL, 10) > REQ_BODY_MAX + DISCARD_MAX;
+}
+
+static struct exchange *
+new_exchange (struct ent_entry *e, struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  struct exchange *x = calloc (1, sizeof *x);
+
+  if (x == NULL)
+    return NULL;
+  x->entry = e;
+  x->connection = connection;
+  x->peer = info->socket_context;
+  return x;
+}
+
+static void
+set_busy (struct exchange *x, bool busy)
+{
+  struct ent_entry *e = x->entry;
+
+  pthread_mutex_lock (&e->clients_lock);
+  if (busy)
+    clt_request_begun (&e->clients, &x->peer->client);
+  else
+    clt_request_ended (&e->clients, &x->peer->client);
+  pthread_mutex_unlock (&e->clients_lock);
 }
 
 static enum MHD_Result
@@ -314,24 +444,22 @@
            size_t *data_size, void **request)
 {
   struct exchange *x = *request;
-  struct req_refusal why;
 
   (void)version;
   if (x == NULL)
     {
-      x = calloc (1, sizeof *x);
-      if (x == NULL)
-        return MHD_NO;
-      x->entry = priv;
-      x->connection = connection;
-      *request = x;
+      x = *request = new_exchange (priv, connection);
+      if (x == NULL || announces_too_much (x))
+        return x != NULL ? refuse_too_large (x) : MHD_NO;
       return MHD_YES;
     }
   if (*data_size > 0)
     {
-      append_body (x, data, *data_size);
+      enum MHD_Result result
+          = append_body (x, data, *data_size) ? MHD_YES : MHD_NO;
+
       *data_size = 0;
-      return MHD_YES;
+      return result;
     }
   if (x->reply != NULL)
     {
@@ -340,11 +468,8 @@
       return send_answer (connection, reply, "application/json");
     }
   if (x->too_large)
-    {
-      req_refuse (&why, 413, "too_large", "accept", true,
-                  "body longer than %u bytes", REQ_BODY_MAX);
-      return send_refusal (x, &why);
-    }
+    return refuse_too_large (x);
+  set_busy (x, true);
   return route_request (x, method, url);
 }
 
@@ -363,10 +488,48 @@
     atomic_fetch_sub (&x->entry->http_pending, 1);
   req_answer_put (x->reply);
   free (x->body);
+  set_busy (x, false);
   free (x);
   *request = NULL;
 }
 
+static void
+connected (struct ent_entry *e, struct MHD_Connection *connection,
+           void **context)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  struct peer *peer = xtalloc_check (calloc (1, sizeof *peer));
+  struct clt_client *victim;
+
+  peer->fd = info->connect_fd;
+  peer->client.priv = peer;
+  *context = peer;
+  pthread_mutex_lock (&e->clients_lock);
+  victim = clt_join (&e->clients, &peer->client);
+  if (victim != NULL)
+    close_client (victim);
+  pthread_mutex_unlock (&e->clients_lock);
+}
+
+static void
+on_connection (void *priv, struct MHD_Connection *connection, void **context,
+               enum MHD_ConnectionNotificationCode code)
+{
+  struct ent_entry *e = priv;
+  struct peer *peer = *context;
+
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      connected (e, connection, context);
+      return;
+    }
+  pthread_mutex_lock (&e->clients_lock);
+  clt_leave (&e->clients, &peer->client);
+  pthread_mutex_unlock (&e->clients_lock);
+  free (peer);
+}
+
 int
 ent_http_open (struct ent_entry *e)
 {
@@ -375,14 +538,20 @@
   e->http_fd = net_listen (e->set.http);
   if (e->http_fd < 0)
     return e->http_fd;
+  pthread_mutex_init (&e->clients_lock, NULL);
+  clt_init (&e->clients, (unsigned)e->set.http_connections_max,
+            e->set.http_bodies_max_kb * BYTES_PER_KB);
   e->http = MHD_start_daemon (
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
       on_access, e, MHD_OPTION_LISTEN_SOCKET, e->http_fd,
       MHD_OPTION_THREAD_POOL_SIZE, (unsigned)e->set.http_threads,
-      MHD_OPTION_CONNECTION_LIMIT, CONNECTION_LIMIT,
+      MHD_OPTION_CONNECTION_LIMIT,
+      (unsigned)(e->set.http_connections_max
+                 + CONNECTIONS_SPARE * e->set.http_threads),
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_BYTES,
       MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
-      MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL, MHD_OPTION_END);
+      MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
+      MHD_OPTION_NOTIFY_CONNECTION, on_connection, e, MHD_OPTION_END);
   return e->http != NULL ? 0 : -EIO;
 }
 
--- a/src/entry_parts.h
+++ b/src/entry_parts.h
@@ -8,12 +8,14 @@
 #define LV_ENTRY_PARTS_H
 
 #include <gsl/gsl_rng.h>
+#include <pthread.h>
 #include <stdatomic.h>
 #include <tevent.h>
 #include <urcu/wfcqueue.h>
 
 #include "http_client.h"
 #include "lagoonvale/adopt.h"
+#include "lagoonvale/clients.h"
 #include "lagoonvale/counter.h"
 #include "lagoonvale/estimate.h"
 #include "lagoonvale/health.h"
@@ -46,6 +48,8 @@
   struct set_strings kinds;
   struct set_strings seeds;
   uint64_t http_threads;
+  uint64_t http_connections_max;
+  uint64_t http_bodies_max_kb;
   uint64_t window_s;
   uint64_t record_bytes;
   uint64_t queue_tasks;
@@ -284,6 +288,8 @@
 
   struct MHD_Daemon *http;
   int http_fd;
+  pthread_mutex_t clients_lock;
+  struct clt_clients clients; /* of the HTTP threads, under @clients_lock */
   int wake_fd;
   struct cds_wfcq_head intake_head;
   struct cds_wfcq_tail intake_tail;
--- a/src/jobtable.c
+++ b/src/jobtable.c
@@ -106,6 +106,7 @@
   set_times (job, p, now_ns);
   job->tasks = xtalloc_zero_array (job, struct jtb_task, p->count);
   HASH_ADD (hh, t->jobs, id[0], strlen (job->id), job);
+  t->tasks += job->count;
   for (i = 0; i < p->count; i++)
     {
       job->tasks[i].job = job;
@@ -136,6 +137,7 @@
         dequeue (t, &job->tasks[i]);
     }
   HASH_DEL (t->jobs, job);
+  t->tasks -= job->count;
   talloc_free (job);
 }
 
--- a/src/web.c
+++ b/src/web.c
@@ -7,11 +7,19 @@
 #include <sys/socket.h>
 #include <talloc.h>
 
+#include "logline.h"
 #include "net.h"
 #include "tick.h"
 #include "xtalloc.h"
 
-#define CONNECTION_LIMIT 3500U
+/* Connections beyond the limit of the clients: the one that loses its place
+   for a new one is closed a moment later.  */
+#define CONNECTIONS_SPARE 16U
+/* First allocation for a body, bytes; it is doubled as the body grows.  */
+#define BODY_STEP ((size_t)4096)
+/* Bytes beyond the longest body that are read for the sake of the refusal: a
+   connection closed with unread data is reset, and the answer lost.  */
+#define DISCARD_MAX ((size_t)4 << 20)
 /* Buffer of one connection in libmicrohttpd, bytes; it holds headers only.  */
 #define CONNECTION_BYTES ((size_t)8192)
 #define TICK_MS 500
@@ -23,21 +31,30 @@
   struct tevent_immediate *run;
   bool run_scheduled;
   bool keepalive_disabled;
-  size_t body_max;
+  struct web_limits limits;
   unsigned open_requests;
   web_handler_fn handler;
   void *priv;
 };
 
+struct web_connection
+{
+  struct clt_client client;
+  int fd;
+};
+
 struct web_request
 {
   struct web_server *server;
+  struct web_connection *peer;
   struct MHD_Connection *connection;
   struct tevent_fd *watch;
   char *method;
   char *path;
   char *body;
   size_t len;
+  size_t allocated;
+  size_t discarded; /* bytes beyond the longest body */
   bool too_long;
   bool dispatched; /* passed to the handler */
   bool suspended;
@@ -143,6 +160,7 @@
   const union MHD_ConnectionInfo *info;
 
   r->dispatched = true;
+  clt_request_begun (s->limits.clients, &r->peer->client);
   s->open_requests++;
   call.method = r->method;
   call.path = r->path;
@@ -202,23 +220,140 @@
   return result;
 }
 
+/* Close the connection of a client that has lost its place: its request ends
+   as if the client had left.  */
 static void
-append_body (struct web_request *r, const char *data, size_t len)
+close_client (struct clt_client *client, const char *why)
 {
-  char *grown = NULL;
+  const struct web_connection *peer = client->priv;
 
-  if (len == 0)
-    return;
-  if (r->len + len <= r->server->body_max)
-    grown = talloc_realloc_size (r, r->body, r->len + len);
-  if (grown == NULL)
+  log_ratelimited (LOGL_INFO, "client-dropped", "why=%s held=%zu", why,
+                   client->held);
+  shutdown (peer->fd, SHUT_RDWR);
+}
+
+void
+web_release_body (struct web_request *r)
+{
+  TALLOC_FREE (r->body);
+  r->len = 0;
+  r->allocated = 0;
+  clt_release (r->server->limits.clients, &r->peer->client);
+}
+
+static void
+drop_sender (struct web_request *r, const char *why)
+{
+  struct clt_client *client = &r->peer->client;
+
+  if (!client->dropped)
+    close_client (client, why);
+  clt_drop (r->server->limits.clients, client);
+  web_release_body (r);
+}
+
+/* Let the body of R take BYTES, at the cost of other clients if need be.
+   Return: whether it may.  */
+static bool
+reserve (struct web_request *r, size_t bytes)
+{
+  struct clt_client *victim;
+  bool granted;
+
+  do
     {
-      r->too_long = true;
-      return;
+      granted = clt_reserve (r->server->limits.clients, &r->peer->client,
+                             bytes, &victim);
+      if (victim != NULL)
+        close_client (victim, "memory");
     }
-  memcpy (grown + r->len, data, len);
+  while (victim != NULL);
+  return granted;
+}
+
+static bool
+grow_body (struct web_request *r, size_t len)
+{
+  size_t allocated = r->allocated > 0 ? r->allocated : BODY_STEP;
+  char *grown;
+
+  while (allocated < len)
+    allocated *= 2;
+  if (allocated == r->allocated)
+    return true;
+  if (!reserve (r, allocated))
+    return false;
+  grown = talloc_realloc_size (r, r->body, allocated);
+  if (grown == NULL)
+    return false;
   r->body = grown;
-  r->len += len;
+  r->allocated = allocated;
+  return true;
+}
+
+/* Drop data of a body that is too long; its sender too if it goes on.  */
+static void
+discard (struct web_request *r, size_t len)
+{
+  if (!r->too_long)
+    web_release_body (r);
+  r->too_long = true;
+  r->discarded += len;
+  if (r->discarded > DISCARD_MAX)
+    drop_sender (r, "body-too-long");
+}
+
+static void
+append_body (struct web_request *r, const char *data, size_t len)
+{
+  if (r->peer->client.dropped)
+    return;
+  if (r->too_long || r->len + len > r->server->limits.body_max)
+    discard (r, len);
+  else if (!grow_body (r, r->len + len))
+    drop_sender (r, "no-memory");
+  else
+    {
+      memcpy (r->body + r->len, data, len);
+      r->len += len;
+    }
+}
+
+static void
+refuse_too_long (struct web_request *r)
+{
+  static const char too_long[] = "body too long\n";
+
+  web_answer (r, MHD_HTTP_CONTENT_TOO_LARGE, "text/plain",
+              lv_slice_of (too_long), 0);
+}
+
+/* Whether the caller announces a body that is too long to be read to its end.
+ */
+static bool
+announces_too_much (const struct web_request *r)
+{
+  const char *length = web_header (r, "Content-Length");
+
+  return length != NULL
+         && strtoull (length, NULL, 10)
+                > r->server->limits.body_max + DISCARD_MAX;
+}
+
+static struct web_request *
+new_request (struct web_server *s, struct MHD_Connection *connection,
+             const char *method, const char *url)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  struct web_request *r = xtalloc_zero (s, struct web_request);
+
+  r->server = s;
+  r->connection = connection;
+  r->peer = info->socket_context;
+  r->method = xtalloc_strdup (r, method);
+  r->path = xtalloc_strdup (r, url);
+  return r;
 }
 
 static enum MHD_Result
@@ -227,19 +362,18 @@
         size_t *data_size, void **request)
 {
   struct web_request *r = *request;
-  static const char too_long[] = "body too long\n";
 
   (void)version;
   if (r == NULL)
     {
-      r = talloc_zero (priv, struct web_request);
-      r->server = priv;
-      r->connection = connection;
-      r->method = xtalloc_strdup (r, method);
-      r->path = xtalloc_strdup (r, url);
-      *request = r;
-      return MHD_YES;
+      r = *request = new_request (priv, connection, method, url);
+      if (!announces_too_much (r))
+        return MHD_YES;
+      refuse_too_long (r);
+      return send_response (r);
     }
+  if (r->peer->client.dropped)
+    return MHD_NO;
   if (*data_size > 0)
     {
       append_body (r, data, *data_size);
@@ -247,8 +381,7 @@
       return MHD_YES;
     }
   if (r->too_long && !r->finished)
-    web_answer (r, MHD_HTTP_CONTENT_TOO_LARGE, "text/plain",
-                lv_slice_of (too_long), 0);
+    refuse_too_long (r);
   if (!r->dispatched && !r->finished && dispatch (r) != MHD_YES)
     return MHD_NO;
   return r->finished ? send_response (r) : MHD_YES;
@@ -271,10 +404,44 @@
     r->disconnected (r->disconnected_priv);
   if (r->response != NULL)
     MHD_destroy_response (r->response);
+  clt_request_ended (r->server->limits.clients, &r->peer->client);
   talloc_free (r);
   *request = NULL;
 }
 
+static void
+connected (struct web_server *s, struct MHD_Connection *connection,
+           void **context)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  struct web_connection *peer = xtalloc_zero (s, struct web_connection);
+  struct clt_client *victim;
+
+  peer->fd = info->connect_fd;
+  peer->client.priv = peer;
+  *context = peer;
+  victim = clt_join (s->limits.clients, &peer->client);
+  if (victim != NULL)
+    close_client (victim, "place");
+}
+
+static void
+notify_connection (void *priv, struct MHD_Connection *connection,
+                   void **context, enum MHD_ConnectionNotificationCode code)
+{
+  struct web_server *s = priv;
+  struct web_connection *peer = *context;
+
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      connected (s, connection, context);
+      return;
+    }
+  clt_leave (s->limits.clients, &peer->client);
+  talloc_free (peer);
+}
+
 const char *
 web_header (const struct web_request *r, const char *name)
 {
@@ -301,9 +468,15 @@
   return s->open_requests;
 }
 
+void
+web_set_body_max (struct web_server *s, size_t body_max)
+{
+  s->limits.body_max = body_max;
+}
+
 struct web_server *
 web_listen (void *mem_ctx, struct tevent_context *ev, const char *listen,
-            size_t body_max, unsigned idle_s, web_handler_fn handler,
+            const struct web_limits *limits, web_handler_fn handler,
             void *priv, int *rc)
 {
   struct web_server *s = xtalloc_zero (mem_ctx, struct web_server);
@@ -316,14 +489,16 @@
   s->ev = ev;
   s->handler = handler;
   s->priv = priv;
-  s->body_max = body_max;
+  s->limits = *limits;
   s->run = xtalloc_check (tevent_create_immediate (s));
   s->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle, s,
       MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
-      CONNECTION_LIMIT, MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_BYTES,
-      MHD_OPTION_CONNECTION_TIMEOUT, idle_s, MHD_OPTION_NOTIFY_COMPLETED,
-      completed, NULL, MHD_OPTION_END);
+      limits->clients->connections_max + CONNECTIONS_SPARE,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_BYTES,
+      MHD_OPTION_CONNECTION_TIMEOUT, limits->idle_s,
+      MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
+      MHD_OPTION_NOTIFY_CONNECTION, notify_connection, s, MHD_OPTION_END);
   if (s->daemon == NULL)
     {
       close (fd);
@@ -347,7 +522,7 @@
 int
 web_listen_all (void *mem_ctx, struct tevent_context *ev,
                 const struct web_endpoint *endpoints, unsigned count,
-                size_t body_max, unsigned idle_s, struct err_error *err)
+                const struct web_limits *limits, struct err_error *err)
 {
   unsigned i;
 
@@ -355,8 +530,8 @@
     {
       const struct web_endpoint *e = &endpoints[i];
       int rc;
-      struct web_server *server = web_listen (
-          mem_ctx, ev, e->address, body_max, idle_s, e->handler, e->priv, &rc);
+      struct web_server *server = web_listen (mem_ctx, ev, e->address, limits,
+                                              e->handler, e->priv, &rc);
 
       if (server == NULL)
         return err_set (err, rc, e->step, e->address, "cannot listen: %s",
--- a/src/web.h
+++ b/src/web.h
@@ -12,6 +12,7 @@
 #include <tevent.h>
 
 #include "error.h"
+#include "lagoonvale/clients.h"
 #include "lagoonvale/slice.h"
 
 struct web_server;
@@ -22,7 +23,7 @@
  * answer
  * @method: "GET", "POST", ...
  * @path: without the query
- * @body: complete body
+ * @body: complete body, until web_release_body()
  */
 struct web_call
 {
@@ -39,16 +40,27 @@
                                 const struct web_call *call, void *priv);
 
 /**
- * web_listen() - serve HTTP on "IP:PORT"
- * @mem_ctx: talloc parent of the server
+ * struct web_limits - what a server may hold
  * @body_max: longest body accepted, bytes; a longer one is answered with 413
  * @idle_s: timeout of idle connections, seconds
+ * @clients: connections and bodies of all servers of the process; borrowed
+ */
+struct web_limits
+{
+  size_t body_max;
+  unsigned idle_s;
+  struct clt_clients *clients;
+};
+
+/**
+ * web_listen() - serve HTTP on "IP:PORT"
+ * @mem_ctx: talloc parent of the server
  * @rc: set to a negative error number if NULL is returned
  */
 struct web_server *web_listen (void *mem_ctx, struct tevent_context *ev,
-                               const char *listen, size_t body_max,
-                               unsigned idle_s, web_handler_fn handler,
-                               void *priv, int *rc);
+                               const char *listen,
+                               const struct web_limits *limits,
+                               web_handler_fn handler, void *priv, int *rc);
 
 /**
  * struct web_endpoint - an address to serve
@@ -71,11 +83,18 @@
  */
 int web_listen_all (void *mem_ctx, struct tevent_context *ev,
                     const struct web_endpoint *endpoints, unsigned count,
-                    size_t body_max, unsigned idle_s, struct err_error *err);
+                    const struct web_limits *limits, struct err_error *err);
+
+/** web_set_body_max() - change the longest body accepted, bytes. */
+void web_set_body_max (struct web_server *s, size_t body_max);
 
 /** web_disable_keepalive() - close each connection after its next answer. */
 void web_disable_keepalive (struct web_server *s);
 
+/** web_release_body() - free the body of a request: it is not needed until the
+ * answer. */
+void web_release_body (struct web_request *r);
+
 /** web_open_requests() - requests whose answer has not been sent yet. */
 unsigned web_open_requests (const struct web_server *s);
 
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -33,6 +33,8 @@
 NO_STOP_MS = 4000
 # Variants that standins/platform_minion.py knows.
 MALFORMED_LISTS = 12
+# The longest body that the configuration allows.
+BODY_MAX = 262144
 # Memory for an entry with 10,000 queues (issue 19), without shared libraries.
 ENTRY_MEMORY_MB = 12
 
@@ -125,6 +127,34 @@
         self.assertEqual(c.submit(0, good, prefix="/none/")[0], 404)
         self.assertEqual(c.submit(0, good)[0], 200)
 
+    # Guards against limits for hostile clients that turn away a legal request.
+    def test_the_longest_body_is_served_in_calm(self):
+        c = self.ready(entries=1, agents=1)
+        text = json.dumps(dict(job(), steps=job()["steps"])).encode()
+        for length, status in ((BODY_MAX, 200), (BODY_MAX + 1, 413)):
+            body = text + b" " * (length - len(text))
+            for chunked in (False, True):
+                with self.subTest(length=length, chunked=chunked):
+                    self.assertEqual(self.post(c, body, chunked), status)
+        spec = "{\"run_ms\":5,\"note\":\"%s\"}" % ("x" * 3978)
+        self.assertEqual(len(spec), 4000)
+        self.assertEqual(c.submit(0, dict(job(), spec=spec))[0], 200)
+        self.assertEqual(c.submit(0, dict(job(), spec=spec + " "))[0], 400)
+
+    @staticmethod
+    def post(c, body, chunked):
+        host, port = c.addresses[0]["jobs"].split(":")
+        connection = http_client.HTTPConnection(host, int(port), timeout=10)
+        pieces = iter([body[i:i + 4096] for i in range(0, len(body), 4096)])
+        headers = {"Host": HOST}
+        if not chunked:
+            headers["Content-Length"] = str(len(body))
+        connection.request("POST", "/rush/" + os.urandom(8).hex(), pieces,
+                           headers, encode_chunked=chunked)
+        status = connection.getresponse().status
+        connection.close()
+        return status
+
     def test_a_refused_request_is_found_in_the_log_by_its_id(self):
         c = self.ready(entries=1)
         for name, prefix, body, status in (
--- a/tests/process/test_runner.py
+++ b/tests/process/test_runner.py
@@ -19,6 +19,8 @@
 FULL_LIST_INTERVAL_S = 5.0
 # Offsets of the procedure in a call and of the known digest in a report.
 PROC_OFFSET, KNOWN_OFFSET = 20, 40 + 8 + 4 + 4 + 8
+# End of the answer to a report: nothing is known of drained domains.
+NO_DRAIN = struct.pack(">QI", 0, 0)
 REPLY = struct.pack(">IIIII", 1, 0, 0, 0, 0)
 
 
@@ -89,7 +91,7 @@
 
     def answer(self, call):
         proc, = struct.unpack_from(">I", call, PROC_OFFSET)
-        report = struct.pack(">IQI", 0, DIGEST, 0)
+        report = struct.pack(">IQI", 0, DIGEST, 0) + NO_DRAIN
         if proc == JOIN:
             return struct.pack(">Q", 99) + report
         if proc != REPORT:
@@ -99,7 +101,7 @@
         if known == 0:
             at = struct.unpack(">I", socket.inet_aton("127.0.0.1"))[0]
             port = int(self.address.rsplit(":", 1)[1])
-            return struct.pack(">IQIII", 0, DIGEST, 1, at, port)
+            return struct.pack(">IQIII", 0, DIGEST, 1, at, port) + NO_DRAIN
         return report
 
 
