Runner: a lease asked for after a long silence no longer outlives its expected end

Cause: the minion's clock was carried on from its last answer at the full rate; a clock that is 2 % slow was 59 ms behind after a freeze of 2.9 s, and the lease so much longer than the agent reckoned. A task was started elsewhere 19 ms before its former run lapsed.

Change: mck_now_ms() allows for the drift over the age of the reading.

--- a/include/lagoonvale/minionclock.h
+++ b/include/lagoonvale/minionclock.h
@@ -39,8 +39,9 @@
 void mck_observe (struct mck_clock *c, uint64_t value_ms, uint64_t asked_ns,
                   uint64_t answered_ns);
 
-/** mck_now_ms() - the minion's clock at @now_ns, a time by clk_now(), or a few
- * milliseconds less; 0 if it is not known. */
+/** mck_now_ms() - the minion's clock at @now_ns, a time by clk_now(), or less;
+ * 0 if it is not known.  Never more, however slow that clock is within
+ * LBD_DRIFT_PARTS: a lease asked for by it would outlive its expected end. */
 uint64_t mck_now_ms (const struct mck_clock *c, uint64_t now_ns);
 
 /**
--- a/src/minionclock.c
+++ b/src/minionclock.c
@@ -1,6 +1,7 @@
 #include "lagoonvale/minionclock.h"
 
 #include "clock.h"
+#include "lagoonvale/leasebounds.h"
 
 void
 mck_observe (struct mck_clock *c, uint64_t value_ms, uint64_t asked_ns,
@@ -14,9 +15,11 @@
 uint64_t
 mck_now_ms (const struct mck_clock *c, uint64_t now_ns)
 {
+  uint64_t age_ns = clk_since (now_ns, c->answered_ns);
+
   if (c->value_ms == 0)
     return 0;
-  return c->value_ms + clk_since (now_ns, c->answered_ns) / CLK_MS;
+  return c->value_ms + (age_ns - age_ns / LBD_DRIFT_PARTS) / CLK_MS;
 }
 
 uint64_t
