Cold minions get work at a rising rate, limited by their agent

Cause: nothing read how long a minion stays cold after a start or a drain; all entries sent what waited there at once.

Change: warmup (module), a token bucket at the agent whose rate rises as the warm-up goes on; the configuration reaches it with each order, reports say how many starts are left, entries count down. Setting warmup_burst.

--- a/include/lagoonvale/catalog.h
+++ b/include/lagoonvale/catalog.h
@@ -15,6 +15,7 @@
 
 #include "lagoonvale/slice.h"
 #include "lagoonvale/textpool.h"
+#include "lagoonvale/warmup.h"
 
 /** Longest name, host, prefix or service of a queue, bytes. */
 #define CAT_TEXT_MAX 512
@@ -31,6 +32,7 @@
  * @target_ms: fixed part of a job's latency target
  * @slack_permille: part of the target that grows with the job's expected run
  * time, in thousandths of that time
+ * @warmup: how the minions of @service warm up
  * @key: @host followed by @prefix, which may be the end of it
  * @hash: of all fields above
  * @changed: version in which it last changed, as far as is known here
@@ -46,6 +48,7 @@
   uint32_t timeout_ms;
   uint32_t target_ms;
   uint32_t slack_permille;
+  struct wmp_params warmup;
   const char *key;
   uint64_t hash;
   uint64_t changed;
--- a/include/lagoonvale/jobtable.h
+++ b/include/lagoonvale/jobtable.h
@@ -17,6 +17,7 @@
 
 #include "lagoonvale/amount.h"
 #include "lagoonvale/slice.h"
+#include "lagoonvale/warmup.h"
 
 /** Bytes of a job's id, with NUL. */
 #define JTB_ID_MAX 64
@@ -86,6 +87,7 @@
  * @attempts: failed runs of one task that fail the job
  * @target_ns: target time from arrival to the answer
  * @timeout_ns: time from arrival after which the caller stops waiting
+ * @warmup: how the minions of @service warm up
  */
 struct jtb_params
 {
@@ -99,6 +101,7 @@
   uint32_t attempts;
   uint64_t target_ns;
   uint64_t timeout_ns;
+  struct wmp_params warmup;
 };
 
 /**
@@ -125,6 +128,7 @@
   uint32_t count;
   uint32_t priority;
   uint32_t attempts;
+  struct wmp_params warmup;
   uint64_t arrived_ns;
   uint64_t due_ns;
   uint64_t start_by_ns;
--- a/include/lagoonvale/minion.h
+++ b/include/lagoonvale/minion.h
@@ -80,6 +80,7 @@
  * @sequence: sequence number of the report
  * @clock_ms: the minion's clock when it wrote the report, 0: not said
  * @total: resources of the minion that tasks may use
+ * @cold_ms: how much longer the minion is slow after its start, 0: it is warm
  * @leaving: whether the minion is draining
  */
 struct mnn_report
@@ -90,6 +91,7 @@
   uint64_t sequence;
   uint64_t clock_ms;
   struct amt_amount total;
+  uint32_t cold_ms;
   bool leaving;
 };
 
--- a/proto/lvproto.x
+++ b/proto/lvproto.x
@@ -224,6 +224,8 @@
   unsigned int confirmed_ms;	/* age of the newest report that was answered */
   lvp_use use;
   bool drained;			/* its failure domain is, as far as it knows */
+  unsigned int starts_left;	/* that its cold server takes now; UINT32_MAX:
+				   no limit */
   unsigned int ratio_permille;	/* actual to declared run time, recent runs */
   unsigned int ratio_runs;	/* runs of this life of the backend server */
 };
@@ -319,6 +321,13 @@
   unsigned int attempt;
 };
 
+/* How the backend servers of a service warm up, see struct wmp_params.  */
+struct lvp_warmup
+{
+  unsigned int warmup_ms;
+  unsigned int cold_per_ks;
+};
+
 struct lvp_order
 {
   unsigned hyper stamp_ms;	/* newest stamp of the agent's reports */
@@ -329,6 +338,7 @@
   lvp_run runs<LVP_TASKS_MAX>;
   lvp_text queue;
   unsigned int failure_permille;	/* failure rate of the queue everywhere */
+  lvp_warmup warmup;		/* of the agent's service */
 };
 
 struct lvp_stop
@@ -347,6 +357,7 @@
   unsigned int timeout_ms;
   unsigned int target_ms;
   unsigned int slack_permille;
+  lvp_warmup warmup;
 };
 
 struct lvp_config_req
--- a/src/catalog.c
+++ b/src/catalog.c
@@ -114,8 +114,10 @@
 static uint64_t
 hash_queue (const struct cat_queue *q)
 {
-  uint32_t numbers[] = { q->priority, q->attempts, q->timeout_ms, q->target_ms,
-                         q->slack_permille };
+  uint32_t numbers[]
+      = { q->priority,          q->attempts,       q->timeout_ms,
+          q->target_ms,         q->slack_permille, q->warmup.warmup_ms,
+          q->warmup.cold_per_ks };
   uint64_t hash = XXH3_64bits (numbers, sizeof numbers);
 
   hash = hash_text (q->name, hash);
--- a/src/dispatch_jobs.c
+++ b/src/dispatch_jobs.c
@@ -330,6 +330,7 @@
                                .count = job->count,
                                .priority = q->priority,
                                .attempts = q->attempts,
+                               .warmup = q->warmup,
                                .target_ns = work_ms * CLK_MS,
                                .timeout_ns = timeout_ms * CLK_MS };
 
--- a/src/dispatch_place.c
+++ b/src/dispatch_place.c
@@ -121,17 +121,19 @@
 {
   struct lv_slice spec = { job->spec, job->spec_len };
   char *queue = ((struct dsp_caller *)job->priv)->queue;
-  lvp_order order = { .stamp_ms = a->stamp_ms,
-                      .job = job->id,
-                      .spec = wir_bytes (spec),
-                      .need = wir_amount (&job->need),
-                      .estimate_ms = job->estimate_ms,
-                      .runs = { count, runs },
-                      .queue = queue,
-                      .failure_permille
-                      = (u_int)(PERMILLE
-                                * est_failure_rate (&d->fleet.estimates,
-                                                    lv_slice_of (queue))) };
+  lvp_order order = {
+    .stamp_ms = a->stamp_ms,
+    .job = job->id,
+    .spec = wir_bytes (spec),
+    .need = wir_amount (&job->need),
+    .estimate_ms = job->estimate_ms,
+    .runs = { count, runs },
+    .queue = queue,
+    .warmup = { job->warmup.warmup_ms, job->warmup.cold_per_ks },
+    .failure_permille
+    = (u_int)(PERMILLE
+              * est_failure_rate (&d->fleet.estimates, lv_slice_of (queue)))
+  };
 
   flt_record_order (a, &job->need, count);
   ctr_add (&d->counters, DSP_ORDERS, count);
@@ -224,6 +226,7 @@
       a = d->candidate_agents[at];
       jtb_place (&d->jobs, task, a, now);
       amt_subtract (&a->free, &job->need);
+      flt_use_start (a);
       a->probe = false;
       a->suspects += task->suspect;
       d->candidates[at]
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -164,6 +164,7 @@
   a->synced = report->synced;
   a->accepting = report->accepting;
   a->says_drained = report->drained;
+  a->starts_left = report->starts_left;
   a->total = wir_to_amount (&report->total);
   amt_raise (&a->peak, &a->total);
   a->free = wir_to_amount (&report->free);
@@ -253,7 +254,8 @@
       = lv_slice_eq (lv_slice_of (a->service), service) && !flt_is_drained (a);
   c.usable = c.same_service && flt_accepts_orders (a) && a->synced
              && lbd_is_fresh (a->last_report_ns, now_ns)
-             && lbd_may_order (a->confirmed_ms) && (!a->ejected || a->probe);
+             && lbd_may_order (a->confirmed_ms) && (!a->ejected || a->probe)
+             && a->starts_left > 0;
   c.same_domain = strcmp (a->domain, domain) == 0;
   c.total = a->total;
   c.free = a->free;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -13,6 +13,7 @@
 #include "lagoonvale/leasebounds.h"
 #include "lagoonvale/estimate.h"
 #include "lagoonvale/health.h"
+#include "lagoonvale/warmup.h"
 #include "lvproto.h"
 #include "onc.h"
 
@@ -51,6 +52,8 @@
  * @silence_number: of its notice of a silence of which no more is known, or 0
  * @suspects: runs of this entry there that are suspected of crashing it
  * @confining: kept for queues whose tasks crash their minions
+ * @starts_left: that its cold minion takes, less what was ordered since;
+ * WMP_UNLIMITED if it is warm
  * @says_drained: its failure domain is drained, as it says itself
  */
 struct flt_agent
@@ -82,6 +85,7 @@
   uint64_t silence_number;
   unsigned suspects;
   bool confining;
+  uint32_t starts_left;
   bool says_drained;
   struct flt_agent *prev;
   struct flt_agent *next;
@@ -150,6 +154,14 @@
 void flt_record_run (struct flt_fleet *f, struct lv_slice queue, bool ok,
                      uint32_t ran_ms, uint32_t estimate_ms);
 
+/** flt_use_start() - a start was ordered from @agent. */
+static inline void
+flt_use_start (struct flt_agent *agent)
+{
+  if (agent->starts_left != WMP_UNLIMITED && agent->starts_left > 0)
+    agent->starts_left--;
+}
+
 /** flt_is_drained() - whether the failure domain of @agent is drained. */
 bool flt_is_drained (const struct flt_agent *agent);
 
--- a/src/jobtable.c
+++ b/src/jobtable.c
@@ -102,6 +102,7 @@
   job->count = p->count;
   job->priority = p->priority;
   job->attempts = p->attempts;
+  job->warmup = p->warmup;
   job->open = p->count;
   set_times (job, p, now_ns);
   job->tasks = xtalloc_zero_array (job, struct jtb_task, p->count);
--- a/src/lvproto.h
+++ b/src/lvproto.h
@@ -259,6 +259,7 @@
 	u_int confirmed_ms;
 	lvp_use use;
 	bool_t drained;
+	u_int starts_left;
 	u_int ratio_permille;
 	u_int ratio_runs;
 };
@@ -360,6 +361,12 @@
 };
 typedef struct lvp_run lvp_run;
 
+struct lvp_warmup {
+	u_int warmup_ms;
+	u_int cold_per_ks;
+};
+typedef struct lvp_warmup lvp_warmup;
+
 struct lvp_order {
 	u_quad_t stamp_ms;
 	lvp_name job;
@@ -372,6 +379,7 @@
 	} runs;
 	lvp_text queue;
 	u_int failure_permille;
+	lvp_warmup warmup;
 };
 typedef struct lvp_order lvp_order;
 
@@ -393,6 +401,7 @@
 	u_int timeout_ms;
 	u_int target_ms;
 	u_int slack_permille;
+	lvp_warmup warmup;
 };
 typedef struct lvp_queue lvp_queue;
 
@@ -617,6 +626,7 @@
 extern  bool_t xdr_lvp_join (XDR *, lvp_join*);
 extern  bool_t xdr_lvp_join_res (XDR *, lvp_join_res*);
 extern  bool_t xdr_lvp_run (XDR *, lvp_run*);
+extern  bool_t xdr_lvp_warmup (XDR *, lvp_warmup*);
 extern  bool_t xdr_lvp_order (XDR *, lvp_order*);
 extern  bool_t xdr_lvp_stop (XDR *, lvp_stop*);
 extern  bool_t xdr_lvp_queue (XDR *, lvp_queue*);
@@ -667,6 +677,7 @@
 extern bool_t xdr_lvp_join ();
 extern bool_t xdr_lvp_join_res ();
 extern bool_t xdr_lvp_run ();
+extern bool_t xdr_lvp_warmup ();
 extern bool_t xdr_lvp_order ();
 extern bool_t xdr_lvp_stop ();
 extern bool_t xdr_lvp_queue ();
--- a/src/lvproto_xdr.c
+++ b/src/lvproto_xdr.c
@@ -477,6 +477,81 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->stamp_ms))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->synced))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->accepting))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->orders))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->known))
+			 return FALSE;
+		 if (!xdr_lvp_amount (xdrs, &objp->total))
+			 return FALSE;
+		 if (!xdr_lvp_amount (xdrs, &objp->free))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->confirmed_ms))
+			 return FALSE;
+		 if (!xdr_lvp_use (xdrs, &objp->use))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->drained))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->starts_left))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ratio_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ratio_runs))
+				 return FALSE;
+		} else {
+			IXDR_PUT_BOOL(buf, objp->drained);
+			IXDR_PUT_U_LONG(buf, objp->starts_left);
+			IXDR_PUT_U_LONG(buf, objp->ratio_permille);
+			IXDR_PUT_U_LONG(buf, objp->ratio_runs);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->stamp_ms))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->synced))
+			 return FALSE;
+		 if (!xdr_bool (xdrs, &objp->accepting))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->orders))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->known))
+			 return FALSE;
+		 if (!xdr_lvp_amount (xdrs, &objp->total))
+			 return FALSE;
+		 if (!xdr_lvp_amount (xdrs, &objp->free))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->confirmed_ms))
+			 return FALSE;
+		 if (!xdr_lvp_use (xdrs, &objp->use))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->drained))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->starts_left))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ratio_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ratio_runs))
+				 return FALSE;
+		} else {
+			objp->drained = IXDR_GET_BOOL(buf);
+			objp->starts_left = IXDR_GET_U_LONG(buf);
+			objp->ratio_permille = IXDR_GET_U_LONG(buf);
+			objp->ratio_runs = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_u_quad_t (xdrs, &objp->stamp_ms))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->synced))
@@ -497,6 +572,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->drained))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->starts_left))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->ratio_permille))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->ratio_runs))
@@ -663,6 +740,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_lvp_warmup (XDR *xdrs, lvp_warmup *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->warmup_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cold_per_ks))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_lvp_order (XDR *xdrs, lvp_order *objp)
 {
@@ -685,6 +774,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->failure_permille))
 		 return FALSE;
+	 if (!xdr_lvp_warmup (xdrs, &objp->warmup))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -726,13 +817,16 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->slack_permille))
 				 return FALSE;
+
 		} else {
-			IXDR_PUT_U_LONG(buf, objp->priority);
-			IXDR_PUT_U_LONG(buf, objp->attempts);
-			IXDR_PUT_U_LONG(buf, objp->timeout_ms);
-			IXDR_PUT_U_LONG(buf, objp->target_ms);
-			IXDR_PUT_U_LONG(buf, objp->slack_permille);
+		IXDR_PUT_U_LONG(buf, objp->priority);
+		IXDR_PUT_U_LONG(buf, objp->attempts);
+		IXDR_PUT_U_LONG(buf, objp->timeout_ms);
+		IXDR_PUT_U_LONG(buf, objp->target_ms);
+		IXDR_PUT_U_LONG(buf, objp->slack_permille);
 		}
+		 if (!xdr_lvp_warmup (xdrs, &objp->warmup))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_lvp_text (xdrs, &objp->name))
@@ -755,13 +849,16 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->slack_permille))
 				 return FALSE;
+
 		} else {
-			objp->priority = IXDR_GET_U_LONG(buf);
-			objp->attempts = IXDR_GET_U_LONG(buf);
-			objp->timeout_ms = IXDR_GET_U_LONG(buf);
-			objp->target_ms = IXDR_GET_U_LONG(buf);
-			objp->slack_permille = IXDR_GET_U_LONG(buf);
+		objp->priority = IXDR_GET_U_LONG(buf);
+		objp->attempts = IXDR_GET_U_LONG(buf);
+		objp->timeout_ms = IXDR_GET_U_LONG(buf);
+		objp->target_ms = IXDR_GET_U_LONG(buf);
+		objp->slack_permille = IXDR_GET_U_LONG(buf);
 		}
+		 if (!xdr_lvp_warmup (xdrs, &objp->warmup))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -783,6 +880,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->slack_permille))
 		 return FALSE;
+	 if (!xdr_lvp_warmup (xdrs, &objp->warmup))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/peers_config.c
+++ b/src/peers_config.c
@@ -79,15 +79,17 @@
 static struct cat_queue
 decode_queue (const lvp_queue *from)
 {
-  struct cat_queue q = { .name = from->name,
-                         .host = from->host,
-                         .prefix = from->prefix,
-                         .service = from->service,
-                         .priority = from->priority,
-                         .attempts = from->attempts,
-                         .timeout_ms = from->timeout_ms,
-                         .target_ms = from->target_ms,
-                         .slack_permille = from->slack_permille };
+  struct cat_queue q
+      = { .name = from->name,
+          .host = from->host,
+          .prefix = from->prefix,
+          .service = from->service,
+          .priority = from->priority,
+          .attempts = from->attempts,
+          .timeout_ms = from->timeout_ms,
+          .target_ms = from->target_ms,
+          .slack_permille = from->slack_permille,
+          .warmup = { from->warmup.warmup_ms, from->warmup.cold_per_ks } };
 
   return q;
 }
@@ -185,9 +187,12 @@
 static lvp_queue
 encode_queue (const struct cat_queue *q)
 {
-  lvp_queue out = { (char *)q->name,    (char *)q->host, (char *)q->prefix,
-                    (char *)q->service, q->priority,     q->attempts,
-                    q->timeout_ms,      q->target_ms,    q->slack_permille };
+  lvp_queue out
+      = { (char *)q->name,   (char *)q->host,
+          (char *)q->prefix, (char *)q->service,
+          q->priority,       q->attempts,
+          q->timeout_ms,     q->target_ms,
+          q->slack_permille, { q->warmup.warmup_ms, q->warmup.cold_per_ks } };
 
   return out;
 }
--- a/src/runner.c
+++ b/src/runner.c
@@ -43,6 +43,10 @@
   { "lagoonvale_drained", "1 while this failure domain is drained", true },
   { "lagoonvale_runs_drained_total",
     "orders refused since this failure domain is drained", false },
+  { "lagoonvale_cold", "1 while the minion is cold, and its starts limited",
+    true },
+  { "lagoonvale_runs_cold_total",
+    "orders refused since the cold minion had its share of starts", false },
   { "lagoonvale_runs", "runs in the book", true },
   { "lagoonvale_free_mcores", "room for further runs", true },
 };
@@ -123,6 +127,8 @@
       DL_FOREACH (r->sessions, s)
       rtk_give_up_owner (&r->tracker, s->incarnation, now);
     }
+  ctr_set_gauge (&r->counters, RNR_COLD,
+                 wmp_starts_left (&r->minion.warmup, now) != WMP_UNLIMITED);
   ctr_set_gauge (&r->counters, RNR_DRAINED, r->domain_drained);
   ctr_set_gauge (&r->counters, RNR_RUNNING, HASH_COUNT (r->tracker.runs));
   ctr_set_gauge (&r->counters, RNR_FREE_MCORES, left.mcores);
@@ -150,6 +156,7 @@
   ftk_init (&r->token, clk_wall_ms ());
   rnw_init (&r->minion.renewal, clk_now (), settings->lease_max_ms * CLK_MS);
   mnh_init (&r->minion.health);
+  wmp_init (&r->minion.warmup, (unsigned)settings->warmup_burst);
   rtk_init (&r->tracker, mem_ctx, &events, &limits);
   orr_init (&r->order_rates, mem_ctx);
   r->started_ns = clk_boot ();
@@ -223,10 +230,10 @@
   news = is_news (r, report);
   if (news)
     log_line (LOGL_INFO, "minion-report",
-              "incarnation=%llu mcores=%u memory_mb=%u leaving=%d "
+              "incarnation=%llu mcores=%u memory_mb=%u leaving=%d cold_ms=%u "
               "mcores_before=%u mcores_used=%u",
               (unsigned long long)report->incarnation, report->total.mcores,
-              report->total.memory_mb, report->leaving,
+              report->total.memory_mb, report->leaving, report->cold_ms,
               r->tracker.total.mcores, r->tracker.used.mcores);
   set_id (m, report->id);
   m->report_incarnation = report->incarnation;
@@ -234,6 +241,7 @@
   m->reported.written_ms = report->clock_ms;
   m->reported.received_ns = clk_boot ();
   m->leaving = report->leaving;
+  wmp_set_left (&m->warmup, report->cold_ms, clk_boot ());
   r->tracker.total = report->total;
   m->absent = false;
   rnr_poll_minion (r);
--- a/src/runner.h
+++ b/src/runner.h
@@ -23,6 +23,7 @@
 #include "lagoonvale/orderrate.h"
 #include "lagoonvale/renewal.h"
 #include "lagoonvale/runtracker.h"
+#include "lagoonvale/warmup.h"
 #include "lvproto.h"
 #include "settings.h"
 
@@ -32,6 +33,7 @@
  * @entries_max: most entries to serve at a time
  * @lease_max_ms: longest lease that the minion grants
  * @stop_max_ms: longest time that the minion takes for a stop
+ * @warmup_burst: most starts that a cold minion gets at a time
  * @report_max_age_ms: age of the minion's last report from which on its
  * capacity is unknown, and it gets no starts
  */
@@ -44,6 +46,7 @@
   uint64_t entries_max;
   uint64_t lease_max_ms;
   uint64_t stop_max_ms;
+  uint64_t warmup_burst;
   uint64_t report_max_age_ms;
 };
 
@@ -68,6 +71,8 @@
   RNR_LEASES_WITHHELD,
   RNR_DRAINED,
   RNR_DRAIN_REFUSALS,
+  RNR_COLD,
+  RNR_COLD_REFUSALS,
   RNR_RUNNING,
   RNR_FREE_MCORES,
   RNR_COUNTERS
@@ -110,8 +115,9 @@
                                 for; 0: none of this process */
   bool lease_withheld;       /* as logged last */
   struct mnh_health health;  /* times by clk_boot() */
-  bool health_changed;       /* since entries were told */
-  uint64_t ends_through;     /* highest number of the ends received */
+  struct wmp_limit warmup;
+  bool health_changed;   /* since entries were told */
+  uint64_t ends_through; /* highest number of the ends received */
   uint64_t poll_sent_ns;
   uint64_t poll_answered_ns;
   bool poll_pending;
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -114,8 +114,8 @@
 /* runner_reports.c */
 
 /** rnr_make_report() - the state of this agent for the entry of @s. */
-lvp_report rnr_make_report (const struct rnr_runner *r,
-                            const struct rnr_session *s, uint64_t now_ns);
+lvp_report rnr_make_report (struct rnr_runner *r, const struct rnr_session *s,
+                            uint64_t now_ns);
 /** rnr_begin_report() - note that a report is sent.  Return: state for its
  * answer. */
 struct rnr_pending_report *rnr_begin_report (struct rnr_session *s,
--- a/src/runner_reports.c
+++ b/src/runner_reports.c
@@ -26,7 +26,7 @@
 }
 
 lvp_report
-rnr_make_report (const struct rnr_runner *r, const struct rnr_session *s,
+rnr_make_report (struct rnr_runner *r, const struct rnr_session *s,
                  uint64_t now_ns)
 {
   struct amt_amount left = rtk_free_amount (&r->tracker);
@@ -38,6 +38,7 @@
           .accepting
           = rnr_able (r, now_ns) && (cause == DRN_NONE || cause == DRN_DOMAIN),
           .drained = r->domain_drained,
+          .starts_left = wmp_starts_left (&r->minion.warmup, now_ns),
           .orders = s->orders,
           .confirmed_ms
           = s->joined ? (u_int)(clk_since (now_ns, s->confirmed_ns) / CLK_MS)
--- a/src/runner_runs.c
+++ b/src/runner_runs.c
@@ -222,9 +222,18 @@
   struct amt_amount need = wir_to_amount (&order->need);
   struct lv_slice spec = wir_slice (&order->spec);
   char name[RTK_NAME_MAX];
+  struct wmp_params warmup
+      = { order->warmup.warmup_ms, order->warmup.cold_per_ks };
   struct run_call *call;
   struct rtk_run *run;
 
+  wmp_set_params (&r->minion.warmup, &warmup);
+  if (wmp_starts_left (&r->minion.warmup, now_ns) == 0)
+    {
+      ctr_add (&r->counters, RNR_COLD_REFUSALS, 1);
+      rnr_keep_end (r, owner, requested->run, LVP_HOW_NO_ROOM, 0);
+      return;
+    }
   snprintf (name, sizeof name, "%s.%u", order->job, requested->index);
   run = rtk_add (&r->tracker, lv_slice_of (name), requested->attempt, &need,
                  now_ns);
@@ -234,6 +243,7 @@
       rnr_keep_end (r, owner, requested->run, LVP_HOW_NO_ROOM, 0);
       return;
     }
+  wmp_take (&r->minion.warmup, now_ns);
   run->owner = owner;
   run->number = requested->run;
   run->estimate_ms = order->estimate_ms;
--- a/standins/platform_minion.py
+++ b/standins/platform_minion.py
@@ -22,7 +22,8 @@
 silent), mute=1 (no reports), interval_s (time between reports), back_s (its
 clock goes back so far as it crashes), malformed=N (polls get the Nth of
 MALFORMED instead of the lists of runs), stop_ms (time that a stop takes),
-keep_id=1 (it has the same id after a crash), cut=1 (the next start is executed, its
+keep_id=1 (it has the same id after a crash), warm_s (it says that it is cold for
+so long after each start), cool=1 (it says so from now on), cut=1 (the next start is executed, its
 connection is closed without an answer, and if it is sent again it gets 503).
 """
 import asyncio
@@ -66,7 +67,8 @@
         self.mcores, self.log = mcores, open(log, "a", buffering=1)
         self.mode = {"share": 0.0, "late_s": 0.0, "hang": 0, "busy": 0,
                      "refuse": 0, "mute": 0, "back_s": 0.0, "interval_s": 0.5,
-                     "malformed": 0, "cut": 0, "stop_ms": 0, "keep_id": 0}
+                     "malformed": 0, "cut": 0, "stop_ms": 0, "keep_id": 0,
+                     "warm_s": 0.0}
         self.cut = None
         self.state, self.acknowledged = "ready", False
         self.ended, self.down = asyncio.Condition(), False
@@ -75,7 +77,7 @@
         self.record_room()
 
     def begin_life(self):
-        self.started = time.monotonic()
+        self.started = self.cold_since = time.monotonic()
         self.born = int((time.time() - self.mode["back_s"]) * 1000)
         self.life += 1
         self.runs, self.ends, self.barred = {}, [], {}
@@ -235,6 +237,8 @@
         if path == "/test/mode":
             if args.pop("crash", None):
                 asyncio.get_running_loop().create_task(self.crash())
+            if args.pop("cool", None):
+                self.cold_since = time.monotonic()
             self.state = args.pop("state", self.state)
             self.mcores = int(args.pop("mcores", self.mcores))
             self.record_room()
@@ -258,11 +262,16 @@
             raise Drop()
         return answer
 
+    def cold_left_ms(self):
+        left_s = self.cold_since + self.mode["warm_s"] - time.monotonic()
+        return max(0, int(left_s * 1000))
+
     def report(self):
         self.seq += 1
         body = {"service": self.service, "address": self.address,
                 "zone": "z", "version": "v1", "capacity": 8,
-                "state": self.state, "warmup_left_ms": 0, "seq": self.seq,
+                "state": self.state, "seq": self.seq,
+                "warmup_left_ms": self.cold_left_ms(),
                 "room": {"cpu": self.mcores, "mem_mb": 65536, "gpu": 0},
                 "labels": ["a", "r1"], "clock_ms": self.clock_ms(),
                 "born": self.born}
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -248,6 +248,47 @@
     }
 }
 
+// Guards against a warm-up that is lost on its way to the queues of a service,
+// whichever comes first, and against odd numbers in its place.
+TEST (Config, QueuesKnowHowTheirMinionsWarmUp)
+{
+  const std::string routes
+      = "\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/a/\","
+        "\"service\":\"s\"}]";
+  const struct
+  {
+    const char *service;
+    uint32_t warmup_ms, cold_per_ks;
+  } cases[] = {
+    { "\"name\":\"s\",\"warmup_s\":2.5,\"cold_per_s\":10", 2500, 10000 },
+    { "\"name\":\"s\",\"warmup_s\":4,\"cold_per_s\":0.5", 4000, 500 },
+    { "\"name\":\"t\",\"warmup_s\":4,\"cold_per_s\":1", 0, 0 },
+    { "\"name\":\"s\",\"warmup_s\":4", 0, 0 },
+    { "\"name\":\"s\",\"warmup_s\":0.0,\"cold_per_s\":0.0", 0, 0 },
+    { "\"name\":\"s\",\"warmup_s\":-4,\"cold_per_s\":1", 0, 0 },
+    { "\"name\":\"s\",\"warmup_s\":1e300,\"cold_per_s\":1", 0, 0 },
+    { "\"name\":\"s\",\"warmup_s\":\"4\",\"cold_per_s\":1", 0, 0 },
+  };
+
+  for (const auto &c : cases)
+    for (bool routes_first : { true, false })
+      {
+        std::string services
+            = "\"services\":[{" + std::string (c.service) + "}]";
+        std::string text = "{\"version\":7,"
+                           + (routes_first ? routes : services) + ","
+                           + (routes_first ? services : routes) + "}";
+        struct cat_config *config
+            = pfm_config_decode (nullptr, lv_slice_of (text.c_str ()));
+
+        ASSERT_NE (config, nullptr) << text;
+        EXPECT_EQ (config->queues[0].warmup.warmup_ms, c.warmup_ms) << text;
+        EXPECT_EQ (config->queues[0].warmup.cold_per_ks, c.cold_per_ks)
+            << text;
+        talloc_free (config);
+      }
+}
+
 TEST (Page, LeavesOutRecordsThatCannotBeRead)
 {
   const struct
--- a/tools/platform_cluster.py
+++ b/tools/platform_cluster.py
@@ -28,9 +28,10 @@
             "slack_factor": 1.6}
 
 
-def config(version, *queues):
+def config(version, *queues, **service):
     return {"version": version, "routes": list(queues),
-            "services": [{"name": SERVICE, "admission_check": False}],
+            "services": [dict({"name": SERVICE, "admission_check": False},
+                              **service)],
             "limits": {"max_body_bytes": 262144, "idle_timeout_ms": 15000}}
 
 
@@ -47,7 +48,8 @@
 class PlatformCluster:
     def __init__(self, entries=2, agents=2, mcores=8000, configured=True,
                  proxy=False, seeds=None, agent=None, store_mode="ok",
-                 entry=None):
+                 entry=None, service=None):
+        self.service = service or {}
         self.agent_settings = agent or {}
         self.entry_settings = entry or {}
         self.dir = tempfile.mkdtemp(prefix="lagoonvale-")
@@ -163,7 +165,7 @@
     def publish(self, *queues):
         self.version += 3
         http("POST", "http://%s/test/put?key=config" % self.store.address,
-             config(self.version, *queues))
+             config(self.version, *queues, **self.service))
 
     def set_mode(self, process, **values):
         query = "&".join("%s=%s" % v for v in values.items())
