Amounts in JSON count alike however they are written

Cause: 6200.0 was read as the fallback, 0 for a need; tasks started without regard to the capacity. So were negative numbers.

--- a/src/jsonx.c
+++ b/src/jsonx.c
@@ -2,11 +2,14 @@
 
 #include <errno.h>
 #include <limits.h>
+#include <math.h>
 
 #include "lagoonvale/name.h"
 #include "xtalloc.h"
 
 #define NS_PER_MS 1000000ULL
+/* Up to here a double holds each whole number.  */
+#define EXACT_MAX 9007199254740992.0
 
 struct json_object *
 jsx_parse_verbose (struct lv_slice text, const char **why, size_t *at)
@@ -187,14 +190,60 @@
   return text;
 }
 
+/* Whether VALUE is written with a point or an exponent, and is whole.  */
+static bool
+is_whole_double (struct json_object *value)
+{
+  double number;
+
+  if (!json_object_is_type (value, json_type_double))
+    return false;
+  number = json_object_get_double (value);
+  return number >= 0 && number <= EXACT_MAX && number == floor (number);
+}
+
 bool
 jsx_is_uint (struct json_object *value)
 {
+  if (is_whole_double (value))
+    return true;
   return json_object_is_type (value, json_type_int)
          && json_object_get_int64 (value) >= 0
          && json_object_get_uint64 (value) <= INT64_MAX;
 }
 
+uint64_t
+jsx_to_uint (struct json_object *value)
+{
+  if (json_object_is_type (value, json_type_double))
+    return (uint64_t)json_object_get_double (value);
+  return (uint64_t)json_object_get_int64 (value);
+}
+
+int
+jsx_get_amount (struct json_object *object, const char *name,
+                enum jsx_rounding rounding, uint32_t *value)
+{
+  struct json_object *member;
+  double number;
+
+  *value = 0;
+  if (!json_object_is_type (object, json_type_object)
+      || !json_object_object_get_ex (object, name, &member))
+    return -ENOENT;
+  if (!json_object_is_type (member, json_type_int)
+      && !json_object_is_type (member, json_type_double))
+    return -EINVAL;
+  number = json_object_get_double (member);
+  if (rounding == JSX_WHOLE && number != floor (number))
+    return -EINVAL;
+  number = rounding == JSX_UP ? ceil (number) : floor (number);
+  if (!(number >= 0))
+    return -EINVAL;
+  *value = number > UINT32_MAX ? UINT32_MAX : (uint32_t)number;
+  return number > UINT32_MAX ? -ERANGE : 0;
+}
+
 uint64_t
 jsx_uint (struct json_object *object, const char *name, uint64_t fallback)
 {
@@ -202,10 +251,11 @@
 
   if (!json_object_is_type (object, json_type_object)
       || !json_object_object_get_ex (object, name, &value)
-      || !json_object_is_type (value, json_type_int)
-      || json_object_get_int64 (value) < 0)
+      || (!is_whole_double (value)
+          && (!json_object_is_type (value, json_type_int)
+              || json_object_get_int64 (value) < 0)))
     return fallback;
-  return (uint64_t)json_object_get_int64 (value);
+  return jsx_to_uint (value);
 }
 
 uint32_t
--- a/src/jsonx.h
+++ b/src/jsonx.h
@@ -81,10 +81,32 @@
 const char *jsx_string (struct json_object *object, const char *name,
                         const char *fallback);
 
-/** jsx_is_uint() - whether @value is a whole number from 0 to INT64_MAX;
+/** jsx_is_uint() - whether @value is a whole number from 0 to INT64_MAX, also
+ * one that is written with a point or an exponent (6200.0, 6.2e3), up to 2^53;
  * json-c cuts what is beyond to the nearest number that it can hold. */
 bool jsx_is_uint (struct json_object *value);
 
+/** jsx_to_uint() - the number @value, for which jsx_is_uint() holds. */
+uint64_t jsx_to_uint (struct json_object *value);
+
+/** enum jsx_rounding - what becomes of the fraction of an amount */
+enum jsx_rounding
+{
+  JSX_DOWN,  /* of what there is */
+  JSX_UP,    /* of what is needed */
+  JSX_WHOLE, /* there must be none */
+};
+
+/**
+ * jsx_get_amount() - read member @name, an amount of something
+ * @value: set to it; to 0 on -ENOENT and -EINVAL, to UINT32_MAX on -ERANGE
+ *
+ * Return: 0, -ENOENT if it is missing, -EINVAL if it is no number or negative,
+ * -ERANGE if it is beyond 32 bits.
+ */
+int jsx_get_amount (struct json_object *object, const char *name,
+                    enum jsx_rounding rounding, uint32_t *value);
+
 /** jsx_uint() - member @name if it is a whole number >= 0, else @fallback;
  * what is beyond INT64_MAX becomes that, see jsx_is_uint(). */
 uint64_t jsx_uint (struct json_object *object, const char *name,
--- a/src/request.c
+++ b/src/request.c
@@ -134,12 +134,10 @@
 
   if (!json_object_object_get_ex (json, name, &value))
     return true;
-  if (!json_object_is_type (value, json_type_int)
-      || json_object_get_int64 (value) < 0
-      || (uint64_t)json_object_get_int64 (value) > max)
+  if (!jsx_is_uint (value) || jsx_to_uint (value) > max)
     return reject (why, "key %s: expected %s", name,
                    "a whole number in range");
-  *out = (uint64_t)json_object_get_int64 (value);
+  *out = jsx_to_uint (value);
   return true;
 }
 
--- a/tests/unit/jsonx_test.cc
+++ b/tests/unit/jsonx_test.cc
@@ -134,4 +134,78 @@
   for (const auto &c : cases)
     EXPECT_EQ (read_all (c.text), c.elements) << c.text;
 }
+/* A number that may be written as 6200.0 was read as 0, and tasks started
+   without regard to the capacity.  Whatever is no amount must be an error.  */
+TEST (Jsonx, AmountsMeanTheSameHoweverTheyAreWritten)
+{
+  const struct
+  {
+    const char *text;
+    int down_rc, whole_rc;
+    uint32_t down, up;
+  } cases[] = {
+    { "6200", 0, 0, 6200, 6200 },
+    { "6200.0", 0, 0, 6200, 6200 },
+    { "6.2e3", 0, 0, 6200, 6200 },
+    { "62E2", 0, 0, 6200, 6200 },
+    { "6200.25", 0, -EINVAL, 6200, 6201 },
+    { "0.001", 0, -EINVAL, 0, 1 },
+    { "0", 0, 0, 0, 0 },
+    { "-0.0", 0, 0, 0, 0 },
+    { "4294967295", 0, 0, UINT32_MAX, UINT32_MAX },
+    { "4294967296", -ERANGE, -ERANGE, UINT32_MAX, UINT32_MAX },
+    { "1e300", -ERANGE, -ERANGE, UINT32_MAX, UINT32_MAX },
+    { "1e999", -ERANGE, -ERANGE, UINT32_MAX, UINT32_MAX },
+    { "99999999999999999999", -ERANGE, -ERANGE, UINT32_MAX, UINT32_MAX },
+    { "-1", -EINVAL, -EINVAL, 0, 0 },
+    { "-6200.0", -EINVAL, -EINVAL, 0, 0 },
+    { "\"6200\"", -EINVAL, -EINVAL, 0, 0 },
+    { "true", -EINVAL, -EINVAL, 0, 0 },
+    { "null", -EINVAL, -EINVAL, 0, 0 },
+    { "[6200]", -EINVAL, -EINVAL, 0, 0 },
+  };
+
+  for (const auto &c : cases)
+    {
+      std::string text = "{\"n\":" + std::string (c.text) + "}";
+      struct json_object *json = jsx_parse (lv_slice_of (text.c_str ()));
+      uint32_t value = 7;
+
+      ASSERT_NE (json, nullptr) << c.text;
+      EXPECT_EQ (jsx_get_amount (json, "n", JSX_DOWN, &value), c.down_rc)
+          << c.text;
+      EXPECT_EQ (value, c.down) << c.text;
+      EXPECT_EQ (jsx_get_amount (json, "n", JSX_UP, &value), c.down_rc)
+          << c.text;
+      EXPECT_EQ (value, c.up) << c.text;
+      EXPECT_EQ (jsx_get_amount (json, "n", JSX_WHOLE, &value), c.whole_rc)
+          << c.text;
+      EXPECT_EQ (jsx_get_amount (json, "m", JSX_DOWN, &value), -ENOENT);
+      EXPECT_EQ (value, 0u);
+      json_object_put (json);
+    }
+}
+
+/* Counters and versions that rise are read alike; a fraction is none.  */
+TEST (Jsonx, WholeNumbersMayHaveAPointOrAnExponent)
+{
+  const struct
+  {
+    const char *text;
+    uint64_t value; /* 99: the fallback */
+  } cases[] = {
+    { "5", 5 },    { "5.0", 5 },       { "5e0", 5 },   { "0.5e1", 5 },
+    { "5.5", 99 }, { "-5.0", 99 },     { "1e300", 99 }, { "1e999", 99 },
+    { "1e15", 1000000000000000ULL }, { "1e17", 99 },
+  };
+
+  for (const auto &c : cases)
+    {
+      std::string text = "{\"n\":" + std::string (c.text) + "}";
+      struct json_object *json = jsx_parse (lv_slice_of (text.c_str ()));
+
+      EXPECT_EQ (jsx_uint (json, "n", 99), c.value) << c.text;
+      json_object_put (json);
+    }
+}
 }
