Hosts and paths have one normal form, for queues and requests

Cause: libmicrohttpd decoded the path of a request, the prefix of a queue was compared as written: a prefix with %20 got 404 for good.

Change: uri (module), applied once to each side; host and path together are no longer limited to 512 bytes; no memcpy of a missing host.

--- a/include/lagoonvale/catalog.h
+++ b/include/lagoonvale/catalog.h
@@ -23,8 +23,8 @@
 /**
  * struct cat_queue - configuration of one queue of jobs
  * @name: name of the queue
- * @host: request host that selects the queue
- * @prefix: path prefix that selects the queue
+ * @host: request host that selects the queue, in normal form (uri.h)
+ * @prefix: path prefix that selects the queue, in normal form
  * @service: backend servers that run its tasks
  * @priority: 0 is the highest
  * @attempts: failed runs of one task after which the job fails
@@ -117,12 +117,11 @@
 int cat_build_index (struct cat_config *c);
 
 /**
- * cat_find() - queue for a request's host and path
+ * cat_find() - queue for a request's host and path, both in normal form
  *
  * Prefixes are compared bytewise: "/a" also matches "/ab".
  *
- * Return: the queue of this host with the longest matching prefix; NULL if
- * there is none or if host and path are longer than 512 bytes together.
+ * Return: the queue of this host with the longest matching prefix, or NULL.
  */
 const struct cat_queue *cat_find (const struct cat_config *c,
                                   struct lv_slice host, struct lv_slice path);
--- a/src/catalog.c
+++ b/src/catalog.c
@@ -6,10 +6,11 @@
 #include <xxhash.h>
 
 #include "lagoonvale/name.h"
+#include "lagoonvale/uri.h"
 #include "xtalloc.h"
 
-/* Longest host plus path that can be looked up, bytes.  */
-#define KEY_MAX 512
+/* Longest host and prefix of a queue together, bytes.  */
+#define KEY_MAX (2 * CAT_TEXT_MAX)
 /* Fewest queues for which space is added at a time.  */
 #define ADDED_MIN 64
 
@@ -51,11 +52,23 @@
 static const char *
 add_key (struct cat_config *c, const struct cat_queue *q)
 {
-  char *key = talloc_asprintf (NULL, "%s%s", q->host, q->prefix);
+  char *host = uri_host (NULL, lv_slice_of (q->host));
+  char *key = talloc_asprintf (host, "%s%s", host,
+                               uri_path (host, lv_slice_of (q->prefix)));
   const char *kept
       = key != NULL ? txp_add (&c->texts, lv_slice_of (key)) : NULL;
 
-  talloc_free (key);
+  talloc_free (host);
+  return kept;
+}
+
+static const char *
+add_host (struct cat_config *c, const struct cat_queue *q)
+{
+  char *host = uri_host (NULL, lv_slice_of (q->host));
+  const char *kept = txp_add (&c->texts, lv_slice_of (host));
+
+  talloc_free (host);
   return kept;
 }
 
@@ -78,12 +91,12 @@
   to = &c->queues[c->count];
   *to = *from;
   to->name = txp_add (&c->texts, lv_slice_of (from->name));
-  to->host = txp_add (&c->texts, lv_slice_of (from->host));
+  to->host = add_host (c, from);
   to->service = txp_add (&c->texts, lv_slice_of (from->service));
   to->key = add_key (c, from);
-  if (to->key == NULL)
+  if (to->key == NULL || to->host == NULL)
     return NULL;
-  to->prefix = to->key + strlen (from->host);
+  to->prefix = to->key + strlen (to->host);
   if (!has_all_texts (to))
     return NULL;
   c->count++;
@@ -184,12 +197,17 @@
 {
   char key[KEY_MAX];
   struct cat_queue *q = NULL;
-  size_t len = host.len + path.len;
+  size_t len;
 
-  if (c == NULL || len > sizeof key)
+  if (c == NULL || host.len > CAT_TEXT_MAX || path.len == 0)
     return NULL;
-  memcpy (key, host.data, host.len);
+  /* No prefix is longer than what is looked up of a path.  */
+  if (path.len > CAT_TEXT_MAX)
+    path.len = CAT_TEXT_MAX;
+  if (host.len > 0)
+    memcpy (key, host.data, host.len);
   memcpy (key + host.len, path.data, path.len);
+  len = host.len + path.len;
   for (; len > host.len && q == NULL; len--)
     HASH_FIND (hh, c->by_key, key, len, q);
   return q;
--- /dev/null
+++ b/src/uri.c
@@ -0,0 +1,92 @@
+#include "lagoonvale/uri.h"
+
+#include <ctype.h>
+#include <stdbool.h>
+#include <string.h>
+
+#include "xtalloc.h"
+
+/* Length of a percent-encoded byte.  */
+#define ENCODED_BYTES 3
+
+static size_t
+length_without_port (struct lv_slice host)
+{
+  size_t n = host.len;
+
+  while (n > 0 && isdigit ((unsigned char)host.data[n - 1]))
+    n--;
+  return n > 0 && host.data[n - 1] == ':' ? n - 1 : host.len;
+}
+
+char *
+uri_host (void *mem_ctx, struct lv_slice host)
+{
+  size_t len = length_without_port (host);
+  char *out = xtalloc_size (mem_ctx, len + 1);
+  size_t i;
+
+  for (i = 0; i < len; i++)
+    out[i] = (char)tolower ((unsigned char)host.data[i]);
+  out[len] = '\0';
+  return out;
+}
+
+static int
+hex_value (char c)
+{
+  if (isdigit ((unsigned char)c))
+    return c - '0';
+  return isxdigit ((unsigned char)c) ? tolower ((unsigned char)c) - 'a' + 10
+                                     : -1;
+}
+
+static bool
+is_unreserved (int c)
+{
+  return c > 0 && c < 0x80 && (isalnum (c) || strchr ("-._~", c) != NULL);
+}
+
+/* The byte that is encoded at AT of PATH, -1 if there is none.  */
+static int
+encoded_byte (struct lv_slice path, size_t at)
+{
+  int high;
+  int low;
+
+  if (path.data[at] != '%' || at + 2 >= path.len)
+    return -1;
+  high = hex_value (path.data[at + 1]);
+  low = hex_value (path.data[at + 2]);
+  return high >= 0 && low >= 0 ? high * 16 + low : -1;
+}
+
+char *
+uri_path (void *mem_ctx, struct lv_slice path)
+{
+  char *out = xtalloc_size (mem_ctx, path.len + 1);
+  size_t n = 0;
+  size_t i = 0;
+
+  while (i < path.len)
+    {
+      int byte = encoded_byte (path, i);
+
+      if (byte < 0)
+        out[n++] = path.data[i++];
+      else if (is_unreserved (byte))
+        {
+          out[n++] = (char)byte;
+          i += ENCODED_BYTES;
+        }
+      else
+        {
+          out[n++] = '%';
+          out[n++] = (char)toupper ((unsigned char)path.data[i + 1]);
+          out[n++] = (char)toupper ((unsigned char)path.data[i + 2]);
+          i += ENCODED_BYTES;
+        }
+    }
+  out[n] = '\0';
+  return out;
+}
--- a/src/web.c
+++ b/src/web.c
@@ -4,9 +4,11 @@
 #include <microhttpd.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <talloc.h>
 
+#include "lagoonvale/uri.h"
 #include "logline.h"
 #include "net.h"
 #include "tick.h"
@@ -352,7 +354,7 @@
   r->connection = connection;
   r->peer = info->socket_context;
   r->method = xtalloc_strdup (r, method);
-  r->path = xtalloc_strdup (r, url);
+  r->path = uri_path (r, lv_slice_of (url));
   return r;
 }
 
@@ -409,6 +411,15 @@
   *request = NULL;
 }
 
+/* Leaves percent-encoded bytes as they are, for uri_path().  */
+static size_t
+keep_encoded (void *priv, struct MHD_Connection *connection, char *text)
+{
+  (void)priv;
+  (void)connection;
+  return strlen (text);
+}
+
 static void
 connected (struct web_server *s, struct MHD_Connection *connection,
            void **context)
@@ -498,7 +509,8 @@
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_BYTES,
       MHD_OPTION_CONNECTION_TIMEOUT, limits->idle_s,
       MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
-      MHD_OPTION_NOTIFY_CONNECTION, notify_connection, s, MHD_OPTION_END);
+      MHD_OPTION_NOTIFY_CONNECTION, notify_connection, s,
+      MHD_OPTION_UNESCAPE_CALLBACK, keep_encoded, NULL, MHD_OPTION_END);
   if (s->daemon == NULL)
     {
       close (fd);
--- a/src/web.h
+++ b/src/web.h
@@ -22,7 +22,7 @@
  * struct web_call - method, path and body of a request; borrowed until the
  * answer
  * @method: "GET", "POST", ...
- * @path: without the query
+ * @path: in normal form (uri.h), without the query
  * @body: complete body, until web_release_body()
  */
 struct web_call
