Names of instances and domains are held whole, or refused by the settings

Cause: a name of 64 bytes or more was kept cut and compared whole, so an agent that joined again was taken for a new one and its tasks ran twice.

Change: FLT_NAME_MAX follows the messages; settings refuse longer names.

--- a/include/lagoonvale/minion.h
+++ b/include/lagoonvale/minion.h
@@ -57,7 +57,7 @@
 #define MNN_STOPS_MAX 48
 
 /** Longest id of a minion's process, with NUL. */
-#define MNN_ID_MAX 64
+#define MNN_ID_MAX 256
 
 /**
  * struct mnn_lease - lease that requests are sent under
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -19,8 +19,9 @@
 
 /** Unreported orders tracked per agent; later ones are not tracked. */
 #define FLT_PENDING_MAX 64
-/** Bytes of the name of an agent or failure domain, with NUL. */
-#define FLT_NAME_MAX 64
+/** Bytes of the name of an agent or failure domain, with NUL: no message holds
+ * a longer one. */
+#define FLT_NAME_MAX (LVP_NAME_MAX + 1)
 
 /** struct flt_pending - an order that no report reflects yet */
 struct flt_pending
--- a/src/logline.c
+++ b/src/logline.c
@@ -24,7 +24,7 @@
 static const char *const level_names[] = { "error", "warn", "info", "debug" };
 
 static log4c_category_t *category;
-static char identity[128];
+static char identity[320];
 static char buffer[BUFFER_BYTES];
 static size_t buffered;
 static unsigned dropped; /* lines that did not fit into the buffer */
--- a/src/settings.c
+++ b/src/settings.c
@@ -83,6 +83,8 @@
 
   if (json_object_get_string_len (value) > 0 && !jsx_is_name (value))
     return -EILSEQ;
+  if (key->type == SET_STRING && key->max > 0 && strlen (text) > key->max)
+    return -ENAMETOOLONG;
   if (key->type == SET_ADDRESS && net_parse (&address, text) != 0)
     return -EINVAL;
   *(char **)field = xtalloc_strdup (mem_ctx, text);
