Dispatcher: tasks of an agent that is back unnoticed are placed again

Cause: an agent that was replaced before the entry saw its connection end joined with a new incarnation, and had not listed its minion's runs yet; its tasks stayed placed until their caller gave up.

Change: they are unreachable until their lease has lapsed, or the agent has listed its runs.

--- a/src/dispatch_agents.c
+++ b/src/dispatch_agents.c
@@ -139,8 +139,19 @@
   return false;
 }
 
+/* The runs of TASK at an agent that has joined, and does not list it, end by
+   their lease at the latest: the former process of that agent is gone.  */
+static void
+await_lapse (struct jtb_task *task)
+{
+  if (task->state != JTB_PLACED)
+    return;
+  task->state = JTB_UNREACHABLE;
+  task->runs_until_ns = lbd_runs_ended_by (clk_boot ());
+}
+
 /* Update the runs at agent A from its join.  Runs that it does not list have
-   ended, provided it has listed all runs at its minion.  */
+   ended if it has listed all runs at its minion, and end soon in any case.  */
 static void
 reconcile (struct dsp_dispatch *d, struct flt_agent *a, const lvp_join *join)
 {
@@ -156,6 +167,8 @@
       task->state = JTB_PLACED;
     else if (join->report.synced)
       requeue_run (d, task, "agent-joined");
+    else
+      await_lapse (task);
   }
 }
 
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -627,6 +627,22 @@
 
 
 class Failures(PlatformTest):
+    # Guards against tasks that stay placed until their caller gives up: their
+    # agent lost power and is back, without its runs, before the entry noticed.
+    def test_tasks_of_an_agent_that_is_back_unnoticed_run_again(self):
+        c = self.ready(entries=1, agents=1, proxy=True)
+        answers = []
+        caller = threading.Thread(target=lambda: answers.append(c.submit(
+            0, job(run_ms=600), wait_ms=5000)[0]))
+        caller.start()
+        time.sleep(0.2)
+        c.set_fault("entry-0", freeze="all")
+        c.agents[0].kill()
+        c.agents[0].start()
+        caller.join(8)
+        self.assertEqual(answers, [200])
+        self.check_rules(c)
+
     def under_load(self, fault, seconds=5, **cluster):
         """Injects fault() under load; callers must be served again after."""
         c = self.ready(**cluster)
