--- a/src/abandoned.c
+++ b/src/abandoned.c
@@ -49,7 +49,7 @@
 
   HASH_DEL (t->runs, run);
   talloc_free (run);
-  if (--job->runs > 0)
+  if (--job->runs > 0 || t->jobs == NULL)
     return;
   HASH_DEL (t->jobs, job);
   talloc_free (job);
