Soak: drained domains, cold minions, jobs sent again at once

Change: three more kinds of fault, drawn by a generator of their own so that each seed keeps its earlier ones; a check that nothing starts in a domain that has been drained for 9 s (the bound and the time out of touch before).

--- a/tests/process/test_evacuation.py
+++ b/tests/process/test_evacuation.py
@@ -23,10 +23,6 @@
         c.await_ready()
         return c
 
-    def drain(self, c, domain, drained=True):
-        http("POST", "http://%s/test/put?key=evacuate/%s"
-             % (c.store.address, domain), b"{}" if drained else b"")
-
     def await_drained(self, c, domains, entries=None):
         """Waits until each of the entries knows that DOMAINS are drained."""
         for entry in entries or c.entries:
@@ -49,7 +45,7 @@
     def test_a_drained_domain_gets_no_work_until_it_is_given_back(self):
         c = self.cluster()
         callers = Callers(c, workers=6, count=2, run_ms=30)
-        self.drain(c, "d0")
+        c.drain("d0")
         self.await_drained(c, 1)
         drained = time.monotonic()
         c.set_mode(c.minions[1], busy=1)  # what is refused is placed again
@@ -57,7 +53,7 @@
         c.set_mode(c.minions[1], busy=0)
         self.check_no_start(c, 0)
         self.assertGreater(len(self.starts(c, 1, drained)), 10)
-        self.drain(c, "d0", False)
+        c.drain("d0", False)
         self.await_drained(c, 0)
         since = time.monotonic()
         self.assertTrue(wait_until(lambda: self.starts(c, 0, since), BOUND_S))
@@ -68,7 +64,7 @@
     # the operators' records: the store is silent then.
     def test_instances_that_start_without_the_store_learn_it_from_others(self):
         c = self.cluster()
-        self.drain(c, "d0")
+        c.drain("d0")
         self.await_drained(c, 1)
         c.set_mode(c.store, mode="silent")
         callers = Callers(c, workers=4, run_ms=20)
@@ -86,7 +82,7 @@
     # its domain is drained: entries that come back know it first.
     def test_all_entries_restarted_keep_to_the_records(self):
         c = self.cluster()
-        self.drain(c, "d0")
+        c.drain("d0")
         self.await_drained(c, 1)
         for entry in c.entries:
             entry.kill()
@@ -105,7 +101,7 @@
     def test_an_entry_without_the_store_follows_its_peers(self):
         c = self.cluster(proxy=True)
         c.set_fault("store-0", cut=True)
-        self.drain(c, "d1")
+        c.drain("d1")
         self.await_drained(c, 1)
         callers = Callers(c, workers=4, run_ms=20)
         self.check_no_start(c, 1)
@@ -116,17 +112,17 @@
     def test_a_store_that_was_set_back_gives_no_domain_back(self):
         c = self.cluster()
         for n in range(5):
-            self.drain(c, "d%d" % (7 + n))
-            self.drain(c, "d%d" % (7 + n), False)
-        self.drain(c, "d0")
+            c.drain("d%d" % (7 + n))
+            c.drain("d%d" % (7 + n), False)
+        c.drain("d0")
         self.await_drained(c, 1)
         http("POST", "http://%s/test/rewind?records=3" % c.store.address, b"")
         callers = Callers(c, workers=4, run_ms=20)
         time.sleep(1.5)
         self.check_no_start(c, 0)
         self.await_drained(c, 1)
-        self.drain(c, "d1")
-        self.drain(c, "d0", False)
+        c.drain("d1")
+        c.drain("d0", False)
         self.assertTrue(wait_until(lambda: c.metric(
             c.agents[1], "lagoonvale_drained") == 1, BOUND_S))
         self.check_no_start(c, 1)
@@ -142,7 +138,7 @@
                     "evacuate/%ff%fe", "evacuated/d0", "xevacuate/d0"):
             http("POST", "http://%s/test/put?key=%s"
                  % (c.store.address, key), b"{}")
-        self.drain(c, "d1")
+        c.drain("d1")
         self.await_drained(c, 1)
         self.assertEqual(c.submit(0, job())[0], 200)
 
@@ -153,19 +149,19 @@
         c = self.cluster(agents=3, entries=3)
         time.sleep(1.6)  # agents may join until then
         callers = Callers(c, workers=3, run_ms=20)
-        self.drain(c, "d0")
-        self.drain(c, "d1")
+        c.drain("d0")
+        c.drain("d1")
         self.await_drained(c, 2)
         self.assertEqual(c.submit(0, job())[0], 200)
         self.check_no_start(c, 0, 0.4)
         self.check_no_start(c, 1, 0.4)
-        self.drain(c, "d2")
+        c.drain("d2")
         self.await_drained(c, 3)
         for i in range(3):
             self.check_refused(c, i)
             self.assertEqual(http("GET", c.entries[i].probe)[0], 200)
         self.check_no_start(c, 2, 0.4)
-        self.drain(c, "d1", False)
+        c.drain("d1", False)
         self.await_drained(c, 2)
         self.assertTrue(wait_until(lambda: c.submit(0, job())[0] == 200))
         callers.stop()
--- a/tests/process/test_warmup.py
+++ b/tests/process/test_warmup.py
@@ -69,15 +69,14 @@
     def test_a_domain_that_is_given_back_fills_slowly(self):
         c = self.cluster(warmup_s=WARM_S, cold_per_s=COLD_PER_S)
         callers = Callers(c, workers=16, count=2, run_ms=10)
-        key = "http://%s/test/put?key=evacuate/d0" % c.store.address
-        http("POST", key, b"{}")
+        c.drain("d0")
         self.assertTrue(wait_until(lambda: c.metric(
             c.agents[0], "lagoonvale_drained") == 1))
         c.set_mode(c.minions[0], warm_s=WARM_S, cool=1)
         since = time.monotonic()
         self.assertTrue(wait_until(lambda: c.metric(
             c.agents[0], "lagoonvale_cold") == 1))
-        http("POST", key, b"")
+        c.drain("d0", False)
         time.sleep(WARM_S + 1)
         callers.stop()
         self.check_rise(self.starts(c, since))
--- a/tools/platform_cluster.py
+++ b/tools/platform_cluster.py
@@ -167,6 +167,13 @@
         http("POST", "http://%s/test/put?key=config" % self.store.address,
              config(self.version, *queues, **self.service))
 
+    def drain(self, domain, drained=True):
+        """Writes the operators' record that drains DOMAIN, or deletes it."""
+        status, _ = http("POST", "http://%s/test/put?key=evacuate/%s"
+                         % (self.store.address, domain),
+                         b"{}" if drained else b"")
+        assert status == 200
+
     def set_mode(self, process, **values):
         query = "&".join("%s=%s" % v for v in values.items())
         status, _ = http("POST", "http://%s/test/mode?%s"
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -11,7 +11,8 @@
 faults may overlap.  Callers send jobs meanwhile.  From the responses and the
 minions' records it checks that no task runs twice at a time, that no minion
 exceeds its capacity, that no refused job has run, that an entry's version of
-the configuration never decreases, and that service recovers within the
+the configuration never decreases, that no task starts in a failure domain that
+has been drained for long enough, and that service recovers within the
 platform's bound.  Each run prints the directory of its logs.
 tests/soak-seeds.txt lists seeds that have failed before.
 """
@@ -34,6 +35,11 @@
 # the rate before them.
 SERVED_SHARE = 0.25
 SETTLE_S = 1.5
+# An instance in touch with the store starts nothing in a domain that has been
+# drained for DRAIN_S; it may have been out of touch for CONTACT_S before.
+DRAIN_S = 5.0
+CONTACT_S = 4.0
+WARM_S = 3.0
 
 
 class Soak:
@@ -43,11 +49,15 @@
         self.more = random.Random("more %d" % seed)
         self.newest = random.Random("newest %d" % seed)
         self.latest = random.Random("latest %d" % seed)
+        self.drains = random.Random("drains %d" % seed)
+        self.drained = []  # minion, since, until
         # In half of the runs a pause is the suspension of an instance.
         if self.newest.random() < 0.5:
             cluster.PROGRAMS = os.path.join(cluster.BUILD, "suspendable")
         self.seconds = seconds
-        self.c = PlatformCluster(entries=entries, agents=agents, proxy=True)
+        self.c = PlatformCluster(
+            entries=entries, agents=agents, proxy=True,
+            service={"warmup_s": WARM_S, "cold_per_s": 20})
         self.versions, self.violations, self.schedule = {}, [], []
         self.done = False
         self.lock = threading.Lock()
@@ -86,6 +96,13 @@
             self.schedule.append((at, kind.__name__, kind(),
                                   self.latest.uniform(0.3, 3.0)))
             at += self.latest.uniform(1.0, 4.0)
+        at = self.drains.uniform(0.2, 4.0)
+        while at < self.seconds:
+            kind = self.drains.choice([self.drain, self.cold, self.again])
+            seconds = (self.drains.uniform(1.0, DRAIN_S + CONTACT_S + 3.0)
+                       if kind == self.drain else 0.5)
+            self.schedule.append((at, kind.__name__, kind(), seconds))
+            at += self.drains.uniform(1.0, 4.0)
         self.schedule.sort(key=lambda fault: fault[0])
 
     def start_again(self, p):
@@ -216,6 +233,39 @@
             self.c.set_fault("entry-%d" % i, reset=True)
         return send, lambda: None
 
+    def drain(self):
+        """One failure domain, which each minion has for its own, is drained and
+        given back cold."""
+        i = self.drains.randrange(len(self.c.minions))
+        m, since = self.c.minions[i], []
+
+        def begin():
+            self.c.drain("d%d" % i)
+            since.append(time.monotonic())
+
+        def end():
+            self.drained.append((i, since[0], time.monotonic()))
+            self.set_minion(m, warm_s=WARM_S, cool=1)
+            self.c.drain("d%d" % i, False)
+        return begin, end
+
+    def cold(self):
+        m = self.drains.choice(self.c.minions)
+        return (lambda: self.set_minion(m, warm_s=WARM_S, cool=1),
+                lambda: None)
+
+    def again(self):
+        """A caller leaves and sends the same job to the same entry at once."""
+        i = self.drains.randrange(len(self.c.entries))
+        name = "%016x" % self.drains.getrandbits(64)
+        body = job(count=4, run_ms=300)
+
+        def send():
+            for timeout in (0.1, 0.1, 6):
+                self.c.submit(i, body, name, timeout=timeout)
+        return (lambda: threading.Thread(target=send, daemon=True).start(),
+                lambda: None)
+
     def narrow_link(self):
         i = self.more.randrange(len(self.c.entries))
         rate = self.more.choice([30000, 250000])
@@ -289,8 +339,20 @@
         callers.stop()
         time.sleep(SETTLE_S)
         self.violations += self.c.rule_violations()
+        self.check_drains()
         self.check_refusals(callers)
 
+    def check_drains(self):
+        """Two drains of one domain may overlap; the first that ends gives it
+        back, and the other one starts anew at its end."""
+        for minion, since, until in self.drained:
+            ends = [t for i, _, t in self.drained if i == minion and t < until]
+            since = max([since] + [t for t in ends if t > since])
+            self.violations += [
+                ("drained", since, e) for e in self.c.events()
+                if e["what"] == "start" and e["minion"] == minion
+                and since + DRAIN_S + CONTACT_S < e["at"] < until]
+
     def check_refusals(self, callers):
         started = {e["task"].split(".")[0] for e in self.c.events()
                    if e["what"] == "start"}
