Lookahead placement: room is held for the first waiting job, others use the rest

Cause: behind a job that does not fit everything waited, also what the free room would have held; it protected large tasks from starving.

Change: lookahead (module), backfill behind a reservation by the ends that agents expect; lookahead_ms, off by default.

--- a/include/lagoonvale/jobtable.h
+++ b/include/lagoonvale/jobtable.h
@@ -19,6 +19,8 @@
 #include "lagoonvale/slice.h"
 #include "lagoonvale/warmup.h"
 
+/** Most tasks of a job. */
+#define JTB_TASKS_MAX 990
 /** Bytes of a job's id, with NUL. */
 #define JTB_ID_MAX 64
 /** An answer is useless to most callers after this multiple of the target. */
@@ -115,6 +117,8 @@
  * @late: queued behind all jobs that are not late
  * @reserving: first of its service, and large: the jobs behind it are not
  * placed until most runs of an agent have ended; set by the caller
+ * @held_until_ns: when its tasks were expected to fit where room is held for
+ * them, 0 if none is; set by the caller
  * @priv: owned by the caller
  */
 struct jtb_job
@@ -138,6 +142,7 @@
   uint32_t orders;
   bool late;
   bool reserving;
+  uint64_t held_until_ns;
   void *priv;
   struct jtb_task *tasks;
   struct jtb_job *prev;
--- a/proto/lvproto.x
+++ b/proto/lvproto.x
@@ -188,6 +188,7 @@
 const LVP_REMOVED_MAX = 256;
 const LVP_PAGE_QUEUES_MAX = 256;
 const LVP_DOMAINS_MAX = 256;
+const LVP_ENDS_SOON_MAX = 8;
 
 struct lvp_amount
 {
@@ -212,6 +213,13 @@
   LVP_USE_PROBE = 2		/* one task */
 };
 
+/* A run that is expected to end, and what that frees.  */
+struct lvp_end_soon
+{
+  unsigned int in_ms;
+  lvp_amount frees;
+};
+
 struct lvp_report
 {
   unsigned hyper stamp_ms;	/* agent's clock; orders echo the newest */
@@ -228,6 +236,7 @@
 				   no limit */
   unsigned int ratio_permille;	/* actual to declared run time, recent runs */
   unsigned int ratio_runs;	/* runs of this life of the backend server */
+  lvp_end_soon soon<LVP_ENDS_SOON_MAX>;	/* the next ones, while the entry waits */
 };
 
 struct lvp_report_res
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -32,6 +32,8 @@
  * struct dsp_settings - settings of the dispatcher
  * @rpc: address to listen on for agents and other entries
  * @advertise: address at which they reach it
+ * @lookahead_ms: how far ahead room is held for the first waiting job, while
+ * others use the rest; 0: nothing is placed behind it
  * @open_tasks_max: most tasks of all open jobs, 0 for no limit
  */
 struct dsp_settings
@@ -42,6 +44,7 @@
   const char *advertise;
   struct set_strings seeds;
   uint64_t open_tasks_max;
+  uint64_t lookahead_ms;
 };
 
 /** enum dsp_outcome - outcome of a job for its caller */
@@ -109,6 +112,11 @@
   DSP_DRAINED_DOMAINS,
   DSP_DRAINED_AGENTS,
   DSP_JOBS_DRAINED,
+  DSP_HOLDS,
+  DSP_HOLDS_KEPT,
+  DSP_HOLDS_MISSED,
+  DSP_BACKFILLED,
+  DSP_HELD_MCORES,
   DSP_CLIENTS,
   DSP_BODY_BYTES,
   DSP_CLIENTS_DROPPED,
@@ -152,6 +160,7 @@
   bool placement_scheduled;
   struct cnd_candidate *candidates;
   struct flt_agent **candidate_agents;
+  struct lkh_agent *ahead; /* the same agents, while room is held */
   unsigned candidate_cap;
   uint64_t demand_sent_ns;
   uint64_t started_ns;
--- a/src/dispatch_agents.c
+++ b/src/dispatch_agents.c
@@ -322,6 +322,7 @@
     }
   apply_report (d, a, &report);
   reply_report (d, a, conn, xid, report.known);
+  WIR_FREE (lvp_report, &report);
 }
 
 void
--- a/src/dispatch_parts.h
+++ b/src/dispatch_parts.h
@@ -8,6 +8,7 @@
  *   dispatch_agents.c   messages of agents: joins, reports, ends of runs
  *   dispatch_jobs.c     jobs from submission to answer
  *   dispatch_place.c    placement of tasks, orders to agents
+ *   dispatch_ahead.c    room held for the first waiting job
  *   dispatch_risk.c     crashes, suspects, confined queues
  */
 #ifndef LV_DISPATCH_PARTS_H
@@ -91,6 +92,31 @@
 bool dsp_any_confining_usable (const struct dsp_dispatch *d,
                                const struct jtb_job *job);
 
+/* dispatch_ahead.c */
+
+/**
+ * dsp_ahead_hold() - hold room for the waiting tasks of @job
+ * @count: candidates, as dsp_list_candidates() has listed them
+ *
+ * Return: whether there will be room for all of them soon enough; others may
+ * then be placed behind it, after dsp_ahead_limit().
+ */
+bool dsp_ahead_hold (struct dsp_dispatch *d, struct jtb_job *job,
+                     unsigned count);
+/**
+ * dsp_ahead_limit() - take what is held off the candidates, for tasks of @job
+ *
+ * Return: whether all of its waiting tasks fit beside that.
+ */
+bool dsp_ahead_limit (struct dsp_dispatch *d, const struct jtb_job *job,
+                      unsigned count);
+/** dsp_ahead_limit_one() - the same for candidate @at, after a placement. */
+void dsp_ahead_limit_one (struct dsp_dispatch *d, const struct jtb_job *job,
+                          unsigned at);
+/** dsp_ahead_placed() - record that @job, which may have been held for, has no
+ * waiting task left. */
+void dsp_ahead_placed (struct dsp_dispatch *d, struct jtb_job *job);
+
 /* dispatch_place.c */
 
 /** dsp_record_step() - append a step of @count tasks from @task on to the step
--- a/src/dispatch_place.c
+++ b/src/dispatch_place.c
@@ -94,6 +94,8 @@
       d->candidate_agents
           = xtalloc_realloc (d->mem_ctx, d->candidate_agents,
                              struct flt_agent *, d->candidate_cap);
+      d->ahead = xtalloc_realloc (d->mem_ctx, d->ahead, struct lkh_agent,
+                                  d->candidate_cap);
     }
   DL_FOREACH (d->fleet.agents, a)
   {
@@ -197,11 +199,12 @@
   return cnd_select (d->candidates, n, &wanted);
 }
 
-/* Place waiting tasks of JOB at the N candidates of its service.  Return:
-   whether all of them fit, except for suspects, which nobody waits for.  */
+/* Place waiting tasks of JOB at the N candidates of its service, BEHIND one
+   for which room is held there.  Return: whether all of them fit, except for
+   suspects, which nobody waits for.  */
 static bool
 place_job (struct dsp_dispatch *d, struct jtb_job *job, unsigned n,
-           bool confined)
+           bool confined, bool behind)
 {
   uint64_t first_run = d->jobs.next_run;
   uint64_t now = clk_boot ();
@@ -231,6 +234,8 @@
       a->suspects += task->suspect;
       d->candidates[at]
           = make_candidate (d, a, lv_slice_of (job->service), confined);
+      if (behind)
+        dsp_ahead_limit_one (d, job, (unsigned)at);
     }
   if (was_in_backlog && job->orders > 0)
     bkl_record_served (&d->backlog, now);
@@ -294,42 +299,97 @@
   blocked->item[blocked->count++] = new;
 }
 
+/* One pass over the queue.  HOLDING: the service for which room is held; the
+   jobs behind the one that it is held for are placed around it.  */
+struct pass
+{
+  struct blocked_services blocked;
+  const char *holding;
+  const char *listed; /* service of the candidates */
+  bool listed_confined;
+  unsigned count;
+};
+
+static bool
+is_held (const struct pass *p, const struct jtb_job *job, bool confined)
+{
+  return p->holding != NULL && !confined
+         && strcmp (p->holding, job->service) == 0;
+}
+
+/* List the candidates for JOB, unless they are those of the job before.  */
+static void
+list_for (struct dsp_dispatch *d, struct pass *p, const struct jtb_job *job,
+          bool confined)
+{
+  if (p->listed == NULL || strcmp (p->listed, job->service) != 0
+      || confined != p->listed_confined || is_held (p, job, confined))
+    p->count = dsp_list_candidates (d, lv_slice_of (job->service), confined);
+  p->listed = job->service;
+  p->listed_confined = confined;
+}
+
+/* Place JOB around what is held for another one, if it fits as a whole.  */
+static void
+place_behind (struct dsp_dispatch *d, struct pass *p, struct jtb_job *job)
+{
+  uint32_t waiting = job->waiting;
+
+  if (!dsp_ahead_limit (d, job, p->count))
+    return;
+  place_job (d, job, p->count, false, true);
+  ctr_add (&d->counters, DSP_BACKFILLED, waiting - job->waiting);
+}
+
+/* Place JOB as far as it fits.  A job that does not fit now, but could later,
+   blocks the jobs behind it of the same service, unless room can be held for
+   it: small tasks would take all resources that become free, and large ones
+   would starve.  */
+static void
+place_next (struct dsp_dispatch *d, struct pass *p, struct jtb_job *job,
+            bool confined)
+{
+  if (place_job (d, job, p->count, confined, false))
+    dsp_ahead_placed (d, job);
+  else if (!cnd_usable_could_fit (d->candidates, p->count, &job->need))
+    return;
+  else if (!confined && dsp_ahead_hold (d, job, p->count))
+    p->holding = job->service;
+  else
+    {
+      job->reserving = cnd_is_large (d->candidates, p->count, &job->need);
+      block (&p->blocked, job->service, confined);
+    }
+}
+
 /* Place waiting tasks in queue order, once it is known which failure domains
-   are drained.  A job that does not fit now, but could
-   later, blocks the jobs behind it of the same service: small tasks would take
-   all resources that become free, and large ones would starve.  */
+   are drained.  */
 static void
 place_waiting (struct dsp_dispatch *d)
 {
-  struct blocked_services blocked = { NULL, 0 };
-  const char *service = "";
-  bool listed_confined = false;
+  struct pass p = { .holding = NULL };
   struct jtb_job *job;
   struct jtb_job *next;
-  unsigned count = 0;
 
   if (!drn_known (&d->drains))
     return;
   jtb_demote_late (&d->jobs, clk_boot ());
   dsp_count_suspects (d);
+  ctr_set_gauge (&d->counters, DSP_HELD_MCORES, 0);
   DL_FOREACH_SAFE (d->jobs.queue, job, next)
   {
     bool confined = dsp_is_confined (d, job);
 
-    if (is_blocked (&blocked, job->service, confined)
+    if (is_blocked (&p.blocked, job->service, confined)
         || abd_any (&d->abandoned, lv_slice_of (job->id)))
       continue;
-    if (strcmp (service, job->service) != 0 || confined != listed_confined)
-      count = dsp_list_candidates (d, lv_slice_of (job->service), confined);
-    service = job->service;
-    listed_confined = confined;
-    if (place_job (d, job, count, confined)
-        || !cnd_usable_could_fit (d->candidates, count, &job->need))
-      continue;
-    job->reserving = cnd_is_large (d->candidates, count, &job->need);
-    block (&blocked, job->service, confined);
+    list_for (d, &p, job, confined);
+    if (is_held (&p, job, confined))
+      place_behind (d, &p, job);
+    else
+      place_next (d, &p, job, confined);
   }
-  talloc_free (blocked.item);
+  talloc_free (p.blocked.item);
   if (d->jobs.queue != NULL)
     announce_demand (d);
 }
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -148,6 +148,41 @@
             ejected ? "ejected" : "fit", a->ratio);
 }
 
+static void
+apply_ends (struct flt_agent *a, const lvp_report *report)
+{
+  u_int i;
+
+  a->end_count = 0;
+  for (i = 0; i < report->soon.soon_len && i < LKH_ENDS_MAX; i++)
+    {
+      struct lkh_end end = { report->soon.soon_val[i].in_ms,
+                             wir_to_amount (&report->soon.soon_val[i].frees) };
+
+      lkh_add_end (a->ends, &a->end_count, &end);
+    }
+}
+
+struct lkh_agent
+flt_look_ahead (const struct flt_agent *a, bool usable, uint64_t now_ns)
+{
+  struct lkh_agent out = { .usable = usable, .free = a->free };
+  uint64_t age_ms = clk_since (now_ns, a->last_report_ns) / CLK_MS;
+  unsigned i;
+
+  for (i = 0; i < a->end_count; i++)
+    {
+      struct lkh_end end = a->ends[i];
+
+      /* What has ended since may have been ordered by another entry.  */
+      if (end.in_ms <= age_ms)
+        continue;
+      end.in_ms -= (uint32_t)age_ms;
+      lkh_add_end (out.ends, &out.end_count, &end);
+    }
+  return out;
+}
+
 uint64_t
 flt_apply_report (struct flt_agent *a, const lvp_report *report,
                   uint64_t now_ns)
@@ -169,6 +204,7 @@
   amt_raise (&a->peak, &a->total);
   a->free = wir_to_amount (&report->free);
   apply_health (a, report);
+  apply_ends (a, report);
   while (a->pending_count > 0
          && a->pending[a->pending_first].order <= report->orders)
     {
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -13,6 +13,7 @@
 #include "lagoonvale/leasebounds.h"
 #include "lagoonvale/estimate.h"
 #include "lagoonvale/health.h"
+#include "lagoonvale/lookahead.h"
 #include "lagoonvale/warmup.h"
 #include "lvproto.h"
 #include "onc.h"
@@ -55,6 +56,7 @@
  * @confining: kept for queues whose tasks crash their minions
  * @starts_left: that its cold minion takes, less what was ordered since;
  * WMP_UNLIMITED if it is warm
+ * @ends: the next ends at its minion, as of its last report
  * @says_drained: its failure domain is drained, as it says itself
  */
 struct flt_agent
@@ -87,6 +89,8 @@
   unsigned suspects;
   bool confining;
   uint32_t starts_left;
+  struct lkh_end ends[LKH_ENDS_MAX];
+  unsigned end_count;
   bool says_drained;
   struct flt_agent *prev;
   struct flt_agent *next;
@@ -190,4 +194,9 @@
                                     struct lv_slice service,
                                     const char *domain, uint64_t now_ns);
 
+/** flt_look_ahead() - @agent, of which @usable says whether it takes orders,
+ * as a placement with lookahead sees it. */
+struct lkh_agent flt_look_ahead (const struct flt_agent *agent, bool usable,
+                                 uint64_t now_ns);
+
 #endif
--- a/src/lvproto.h
+++ b/src/lvproto.h
@@ -222,6 +222,7 @@
 #define LVP_REMOVED_MAX 256
 #define LVP_PAGE_QUEUES_MAX 256
 #define LVP_DOMAINS_MAX 256
+#define LVP_ENDS_SOON_MAX 8
 
 struct lvp_amount {
 	u_int mcores;
@@ -248,6 +249,12 @@
 };
 typedef enum lvp_use lvp_use;
 
+struct lvp_end_soon {
+	u_int in_ms;
+	lvp_amount frees;
+};
+typedef struct lvp_end_soon lvp_end_soon;
+
 struct lvp_report {
 	u_quad_t stamp_ms;
 	bool_t synced;
@@ -262,6 +269,10 @@
 	u_int starts_left;
 	u_int ratio_permille;
 	u_int ratio_runs;
+	struct {
+		u_int soon_len;
+		lvp_end_soon *soon_val;
+	} soon;
 };
 typedef struct lvp_report lvp_report;
 
@@ -614,6 +625,7 @@
 extern  bool_t xdr_lvp_endpoint (XDR *, lvp_endpoint*);
 extern  bool_t xdr_lvp_endpoints (XDR *, lvp_endpoints*);
 extern  bool_t xdr_lvp_use (XDR *, lvp_use*);
+extern  bool_t xdr_lvp_end_soon (XDR *, lvp_end_soon*);
 extern  bool_t xdr_lvp_report (XDR *, lvp_report*);
 extern  bool_t xdr_lvp_report_res (XDR *, lvp_report_res*);
 extern  bool_t xdr_lvp_how (XDR *, lvp_how*);
@@ -665,6 +677,7 @@
 extern bool_t xdr_lvp_endpoint ();
 extern bool_t xdr_lvp_endpoints ();
 extern bool_t xdr_lvp_use ();
+extern bool_t xdr_lvp_end_soon ();
 extern bool_t xdr_lvp_report ();
 extern bool_t xdr_lvp_report_res ();
 extern bool_t xdr_lvp_how ();
--- a/src/lvproto_xdr.c
+++ b/src/lvproto_xdr.c
@@ -472,6 +472,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_lvp_end_soon (XDR *xdrs, lvp_end_soon *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->in_ms))
+		 return FALSE;
+	 if (!xdr_lvp_amount (xdrs, &objp->frees))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_lvp_report (XDR *xdrs, lvp_report *objp)
 {
@@ -507,12 +519,16 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->ratio_runs))
 				 return FALSE;
+
 		} else {
-			IXDR_PUT_BOOL(buf, objp->drained);
-			IXDR_PUT_U_LONG(buf, objp->starts_left);
-			IXDR_PUT_U_LONG(buf, objp->ratio_permille);
-			IXDR_PUT_U_LONG(buf, objp->ratio_runs);
+		IXDR_PUT_BOOL(buf, objp->drained);
+		IXDR_PUT_U_LONG(buf, objp->starts_left);
+		IXDR_PUT_U_LONG(buf, objp->ratio_permille);
+		IXDR_PUT_U_LONG(buf, objp->ratio_runs);
 		}
+		 if (!xdr_array (xdrs, (char **)&objp->soon.soon_val, (u_int *) &objp->soon.soon_len, LVP_ENDS_SOON_MAX,
+			sizeof (lvp_end_soon), (xdrproc_t) xdr_lvp_end_soon))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_u_quad_t (xdrs, &objp->stamp_ms))
@@ -543,12 +559,16 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->ratio_runs))
 				 return FALSE;
+
 		} else {
-			objp->drained = IXDR_GET_BOOL(buf);
-			objp->starts_left = IXDR_GET_U_LONG(buf);
-			objp->ratio_permille = IXDR_GET_U_LONG(buf);
-			objp->ratio_runs = IXDR_GET_U_LONG(buf);
+		objp->drained = IXDR_GET_BOOL(buf);
+		objp->starts_left = IXDR_GET_U_LONG(buf);
+		objp->ratio_permille = IXDR_GET_U_LONG(buf);
+		objp->ratio_runs = IXDR_GET_U_LONG(buf);
 		}
+		 if (!xdr_array (xdrs, (char **)&objp->soon.soon_val, (u_int *) &objp->soon.soon_len, LVP_ENDS_SOON_MAX,
+			sizeof (lvp_end_soon), (xdrproc_t) xdr_lvp_end_soon))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -578,6 +598,9 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->ratio_runs))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->soon.soon_val, (u_int *) &objp->soon.soon_len, LVP_ENDS_SOON_MAX,
+		sizeof (lvp_end_soon), (xdrproc_t) xdr_lvp_end_soon))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/runner.h
+++ b/src/runner.h
@@ -17,6 +17,7 @@
 #include "lagoonvale/fencetoken.h"
 #include "lagoonvale/histogram.h"
 #include "lagoonvale/leasebounds.h"
+#include "lagoonvale/lookahead.h"
 #include "lagoonvale/minion.h"
 #include "lagoonvale/minionclock.h"
 #include "lagoonvale/minionhealth.h"
@@ -153,7 +154,8 @@
   uint64_t leaving_ns;
   uint64_t drain_position; /* that @domain_drained holds at, 0: unknown */
   bool domain_drained;
-  uint64_t started_ns; /* 0 after the first join */
+  lvp_end_soon soon[LKH_ENDS_MAX]; /* of the report that is being sent */
+  uint64_t started_ns;             /* 0 after the first join */
   struct ctr_set counters;
   struct hst_set times;
 };
--- a/src/runner_reports.c
+++ b/src/runner_reports.c
@@ -25,6 +25,35 @@
   return uses[mnh_use (&r->minion.health, s->incarnation, now_ns)];
 }
 
+/* Fill REPORT with the next ends at the minion, by their progress or their
+   declared run times.  */
+static void
+list_ends (struct rnr_runner *r, lvp_report *report, uint64_t now_ns)
+{
+  struct lkh_end ends[LKH_ENDS_MAX];
+  const struct rtk_run *run;
+  unsigned count = 0;
+  unsigned i;
+
+  for (run = r->tracker.runs; run != NULL; run = run->hh.next)
+    {
+      uint64_t age_ms = clk_since (now_ns, run->ordered_ns) / CLK_MS;
+      double estimate_ms = run->estimate_ms * r->minion.health.ratio;
+      struct lkh_end end
+          = { lkh_remaining_ms (age_ms, run->percent, (uint64_t)estimate_ms),
+              run->need };
+
+      lkh_add_end (ends, &count, &end);
+    }
+  for (i = 0; i < count; i++)
+    {
+      r->soon[i].in_ms = ends[i].in_ms;
+      r->soon[i].frees = wir_amount (&ends[i].frees);
+    }
+  report->soon.soon_val = r->soon;
+  report->soon.soon_len = count;
+}
+
 lvp_report
 rnr_make_report (struct rnr_runner *r, const struct rnr_session *s,
                  uint64_t now_ns)
@@ -52,6 +81,8 @@
           .ratio_permille = (u_int)(1000 * health->ratio),
           .ratio_runs = (u_int)health->ratio_runs };
 
+  if (s->has_backlog)
+    list_ends (r, &report, now_ns);
   return report;
 }
 
