A cancel counts at every entry; its job's caller is answered

Cause: an entry that did not have the job answered 410 and did nothing; the one that had it started tasks seconds later. A POST whose job was cancelled was never answered.

--- a/proto/lvproto.x
+++ b/proto/lvproto.x
@@ -188,6 +188,7 @@
 const LVP_REMOVED_MAX = 256;
 const LVP_PAGE_QUEUES_MAX = 256;
 const LVP_DOMAINS_MAX = 256;
+const LVP_CANCELS_MAX = 256;
 const LVP_ENDS_SOON_MAX = 8;
 
 struct lvp_amount
@@ -397,6 +398,12 @@
   lvp_name domains<LVP_DOMAINS_MAX>;
 };
 
+/* Jobs that callers have cancelled, told to all entries: any may have them.  */
+struct lvp_cancels
+{
+  lvp_name ids<LVP_CANCELS_MAX>;
+};
+
 /* Between entries.  */
 struct lvp_peer
 {
@@ -435,5 +442,6 @@
     /* 19 was a transfer of whole configurations.  */
     lvp_config LVP_CONFIG (lvp_config_req) = 20;
     void LVP_LOSS (lvp_loss) = 21;
+    void LVP_CANCEL (lvp_cancels) = 22;
   } = 1;
 } = 0x20004c56;
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -26,6 +26,10 @@
   { "lagoonvale_jobs_gave_up_total", "jobs given up, may have run", false },
   { "lagoonvale_jobs_withdrawn_total", "jobs whose caller left or cancelled",
     false },
+  { "lagoonvale_jobs_cancelled_total", "jobs answered as cancelled", false },
+  { "lagoonvale_cancels_total", "requests to cancel a job", false },
+  { "lagoonvale_cancels_told_total",
+    "open jobs that were cancelled at another entry", false },
   { "lagoonvale_orders_total", "task starts ordered", false },
   { "lagoonvale_tasks_done_total", "runs ended well", false },
   { "lagoonvale_tasks_again_total", "runs that ended otherwise", false },
@@ -94,6 +98,9 @@
     case LVP_LOSS:
       dsp_on_loss (d, conn, args);
       break;
+    case LVP_CANCEL:
+      dsp_on_cancel (d, conn, args);
+      break;
     case LVP_PEER:
       per_on_peer (&d->peers, conn, xid, args, clk_boot ());
       break;
@@ -234,6 +241,8 @@
   dsp_expire_jobs (d, clk_boot ());
   dsp_requeue_lapsed (d, now);
   abd_expire (&d->abandoned, now);
+  dsp_send_cancels (d);
+  cnl_expire (&d->cancels, now);
   flt_forget_expired (&d->fleet, now);
   crl_expire (&d->crashes, clk_boot ());
   dsp_mark_confining (d);
@@ -263,6 +272,12 @@
   return ((const struct dsp_dispatch *)priv)->config;
 }
 
+static void
+on_peer_up (struct onc_conn *conn, void *priv)
+{
+  dsp_send_all_cancels (priv, conn);
+}
+
 static const struct drn_domains *
 get_drains (void *priv)
 {
@@ -305,6 +320,7 @@
                                .current = get_config,
                                .drains = on_peer_drains,
                                .current_drains = get_drains,
+                               .up = on_peer_up,
                                .priv = d };
   int rc;
 
@@ -319,6 +335,7 @@
   d->placement = xtalloc_check (tevent_create_immediate (mem_ctx));
   jtb_init (&d->jobs, mem_ctx);
   abd_init (&d->abandoned, mem_ctx);
+  cnl_init (&d->cancels, mem_ctx);
   drn_init (&d->drains, mem_ctx);
   flt_init (&d->fleet, mem_ctx, &d->drains);
   crl_init (&d->crashes, mem_ctx);
@@ -341,6 +358,7 @@
 {
   jtb_finish (&d->jobs);
   abd_finish (&d->abandoned);
+  cnl_finish (&d->cancels);
   flt_finish (&d->fleet);
   drn_finish (&d->drains);
   crl_finish (&d->crashes);
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -19,6 +19,7 @@
 #include "lagoonvale/abandoned.h"
 #include "lagoonvale/backlog.h"
 #include "lagoonvale/bulkhead.h"
+#include "lagoonvale/cancels.h"
 #include "lagoonvale/catalog.h"
 #include "lagoonvale/clients.h"
 #include "lagoonvale/counter.h"
@@ -54,6 +55,7 @@
   DSP_FAILED,  /* a task used up its attempts */
   DSP_REFUSED, /* no task has run */
   DSP_GAVE_UP, /* tasks may have run */
+  DSP_CANCELLED,
 };
 
 /**
@@ -99,6 +101,9 @@
   DSP_JOBS_REFUSED,
   DSP_JOBS_GAVE_UP,
   DSP_JOBS_WITHDRAWN,
+  DSP_JOBS_CANCELLED,
+  DSP_CANCELS,
+  DSP_CANCELS_TOLD,
   DSP_ORDERS,
   DSP_TASKS_DONE,
   DSP_TASKS_AGAIN,
@@ -148,6 +153,8 @@
   gsl_rng *rng;
   struct jtb_table jobs;
   struct abd_runs abandoned;
+  struct cnl_cancels cancels;
+  unsigned unsent_cancels;    /* newest of these that peers are not told of */
   struct bkl_backlog backlog; /* late jobs without any order */
   struct flt_fleet fleet;
   struct crl_log crashes;       /* times by clk_boot() */
@@ -249,6 +256,14 @@
 bool dsp_withdraw (struct dsp_dispatch *d, struct lv_slice id,
                    const char *why);
 
+/**
+ * dsp_cancel() - cancel the job @id, here and at all entries, and its
+ * submission if that arrives later
+ *
+ * Return: whether it was open here.  Its caller is answered.
+ */
+bool dsp_cancel (struct dsp_dispatch *d, struct lv_slice id);
+
 /** dsp_count_pending() - jobs of @queue without any order. */
 unsigned dsp_count_pending (const struct dsp_dispatch *d,
                             const struct cat_queue *queue);
--- a/src/dispatch_jobs.c
+++ b/src/dispatch_jobs.c
@@ -54,10 +54,12 @@
 static void
 count_answer (struct dsp_dispatch *d, const struct dsp_answer *answer)
 {
-  static const enum dsp_counter ids[] = { [DSP_COMPLETE] = DSP_JOBS_COMPLETE,
-                                          [DSP_FAILED] = DSP_JOBS_FAILED,
-                                          [DSP_REFUSED] = DSP_JOBS_REFUSED,
-                                          [DSP_GAVE_UP] = DSP_JOBS_GAVE_UP };
+  static const enum dsp_counter ids[]
+      = { [DSP_COMPLETE] = DSP_JOBS_COMPLETE,
+          [DSP_FAILED] = DSP_JOBS_FAILED,
+          [DSP_REFUSED] = DSP_JOBS_REFUSED,
+          [DSP_GAVE_UP] = DSP_JOBS_GAVE_UP,
+          [DSP_CANCELLED] = DSP_JOBS_CANCELLED };
 
   ctr_add (&d->counters, ids[answer->outcome], 1);
 }
@@ -78,7 +80,8 @@
 static const char *const outcomes[] = { [DSP_COMPLETE] = "complete",
                                         [DSP_FAILED] = "failed",
                                         [DSP_REFUSED] = "refused",
-                                        [DSP_GAVE_UP] = "gave-up" };
+                                        [DSP_GAVE_UP] = "gave-up",
+                                        [DSP_CANCELLED] = "cancelled" };
 
 static void
 record_end (struct dsp_dispatch *d, const char *queue,
@@ -155,6 +158,12 @@
   answer_job (d, job, &answer);
 }
 
+void
+dsp_answer_cancelled (struct dsp_dispatch *d, struct jtb_job *job)
+{
+  end_job (d, job, DSP_CANCELLED, "cancelled");
+}
+
 /* Answer that JOB, of which nothing has run, is refused.  */
 static void
 refuse_accepted (struct dsp_dispatch *d, struct jtb_job *job, const char *why,
@@ -429,6 +438,16 @@
       replace_caller (d, accepted, job, params.timeout_ns);
       return;
     }
+  if (cnl_contains (&d->cancels, job->id))
+    {
+      struct dsp_answer answer = { DSP_CANCELLED, "cancelled", 0 };
+
+      log_line (LOGL_INFO, "job-cancelled", "job=%.*s from=earlier",
+                (int)job->id.len, job->id.data);
+      count_answer (d, &answer);
+      job->answer (&answer, job->priv);
+      return;
+    }
   if (!ends_before_shutdown (d, job))
     {
       refuse (d, job, "leaving", RETRY_ELSEWHERE_MS);
--- a/src/dispatch_parts.h
+++ b/src/dispatch_parts.h
@@ -6,6 +6,7 @@
  *
  *   dispatch.c          start and shutdown, configuration, ticks
  *   dispatch_agents.c   messages of agents: joins, reports, ends of runs
+ *   dispatch_cancel.c   cancelled jobs, here and at other entries
  *   dispatch_jobs.c     jobs from submission to answer
  *   dispatch_place.c    placement of tasks, orders to agents
  *   dispatch_ahead.c    room held for the first waiting job
@@ -141,8 +142,21 @@
 /** dsp_stop_runs() - send stops for all placed tasks of @job. */
 void dsp_stop_runs (struct dsp_dispatch *d, struct jtb_job *job);
 
+/* dispatch_cancel.c */
+
+/** dsp_send_cancels() - tell all other entries of new cancels. */
+void dsp_send_cancels (struct dsp_dispatch *d);
+/** dsp_send_all_cancels() - tell the entry at @conn, which answers again, of
+ * all cancels that are kept. */
+void dsp_send_all_cancels (struct dsp_dispatch *d, struct onc_conn *conn);
+/** dsp_on_cancel() - handle the notice of another entry. */
+void dsp_on_cancel (struct dsp_dispatch *d, struct onc_conn *conn, XDR *args);
+
 /* dispatch_jobs.c */
 
+/** dsp_answer_cancelled() - answer @job as cancelled, and stop its runs. */
+void dsp_answer_cancelled (struct dsp_dispatch *d, struct jtb_job *job);
+
 /** dsp_answer_if_ended() - answer @job if it is complete or failed. */
 void dsp_answer_if_ended (struct dsp_dispatch *d, struct jtb_job *job,
                           enum jtb_job_status status);
--- a/src/lvproto.h
+++ b/src/lvproto.h
@@ -222,6 +222,7 @@
 #define LVP_REMOVED_MAX 256
 #define LVP_PAGE_QUEUES_MAX 256
 #define LVP_DOMAINS_MAX 256
+#define LVP_CANCELS_MAX 256
 #define LVP_ENDS_SOON_MAX 8
 
 struct lvp_amount {
@@ -451,6 +452,14 @@
 };
 typedef struct lvp_drains lvp_drains;
 
+struct lvp_cancels {
+	struct {
+		u_int ids_len;
+		lvp_name *ids_val;
+	} ids;
+};
+typedef struct lvp_cancels lvp_cancels;
+
 struct lvp_peer {
 	lvp_endpoint self;
 	u_quad_t incarnation;
@@ -527,6 +536,9 @@
 #define LVP_LOSS 21
 extern  void * lvp_loss_1(lvp_loss , CLIENT *);
 extern  void * lvp_loss_1_svc(lvp_loss , struct svc_req *);
+#define LVP_CANCEL 22
+extern  void * lvp_cancel_1(lvp_cancels , CLIENT *);
+extern  void * lvp_cancel_1_svc(lvp_cancels , struct svc_req *);
 extern int lvp_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -590,6 +602,9 @@
 #define LVP_LOSS 21
 extern  void * lvp_loss_1();
 extern  void * lvp_loss_1_svc();
+#define LVP_CANCEL 22
+extern  void * lvp_cancel_1();
+extern  void * lvp_cancel_1_svc();
 extern int lvp_prog_1_freeresult ();
 #endif /* K&R C */
 
@@ -645,6 +660,7 @@
 extern  bool_t xdr_lvp_config_req (XDR *, lvp_config_req*);
 extern  bool_t xdr_lvp_config (XDR *, lvp_config*);
 extern  bool_t xdr_lvp_drains (XDR *, lvp_drains*);
+extern  bool_t xdr_lvp_cancels (XDR *, lvp_cancels*);
 extern  bool_t xdr_lvp_peer (XDR *, lvp_peer*);
 
 #else /* K&R C */
@@ -697,6 +713,7 @@
 extern bool_t xdr_lvp_config_req ();
 extern bool_t xdr_lvp_config ();
 extern bool_t xdr_lvp_drains ();
+extern bool_t xdr_lvp_cancels ();
 extern bool_t xdr_lvp_peer ();
 
 #endif /* K&R C */
--- a/src/lvproto_xdr.c
+++ b/src/lvproto_xdr.c
@@ -1026,6 +1026,17 @@
 	return TRUE;
 }
 
+bool_t
+xdr_lvp_cancels (XDR *xdrs, lvp_cancels *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->ids.ids_val, (u_int *) &objp->ids.ids_len, LVP_CANCELS_MAX,
+		sizeof (lvp_name), (xdrproc_t) xdr_lvp_name))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_lvp_peer (XDR *xdrs, lvp_peer *objp)
 {
--- a/src/peers.c
+++ b/src/peers.c
@@ -178,9 +178,9 @@
 {
   struct per_peer *peer = priv;
   uint64_t now_ns = clk_boot ();
+  bool first = peer->answered_ns == 0;
   lvp_peer in;
 
-  (void)conn;
   peer->exchange_pending = false;
   if (err != 0)
     return;
@@ -189,7 +189,7 @@
       log_line (LOGL_WARN, "peer-bad-reply", "peer=%s", peer->address);
       return;
     }
-  if (peer->answered_ns == 0)
+  if (first)
     log_line (LOGL_INFO, "peer-up", "peer=%s config=%llu", peer->address,
               (unsigned long long)in.config);
   peer->answered_ns = now_ns;
@@ -197,6 +197,19 @@
   peer->received_digest = in.digest;
   apply_exchange (peer->peers, &in, now_ns);
   WIR_FREE (lvp_peer, &in);
+  if (first)
+    peer->peers->events.up (conn, peer->peers->events.priv);
+}
+
+void
+per_call_all (const struct per_peers *p, uint32_t proc, xdrproc_t encode,
+              void *args)
+{
+  const struct per_peer *peer;
+
+  DL_FOREACH (p->peers, peer)
+  if (peer->answered_ns != 0)
+    onc_call (peer->conn, proc, encode, args, NULL, NULL);
 }
 
 static void
--- a/src/peers.h
+++ b/src/peers.h
@@ -24,6 +24,7 @@
  * @current: the configuration in force here, or NULL
  * @drains: a peer knows the drained failure domains @names at @position
  * @current_drains: those known here
+ * @up: a peer answers for the first time on @conn, which leads to it
  */
 struct per_events
 {
@@ -32,6 +33,7 @@
   void (*drains) (const struct lv_slice *names, unsigned count,
                   uint64_t position, const char *source, void *priv);
   const struct drn_domains *(*current_drains) (void *priv);
+  void (*up) (struct onc_conn *conn, void *priv);
   void *priv;
 };
 
@@ -103,6 +105,11 @@
                         lvp_endpoint buf[PER_MAX], u_quad_t known,
                         u_quad_t *digest);
 
+/** per_call_all() - call @proc with @args at all peers that answer, without a
+ * reply. */
+void per_call_all (const struct per_peers *p, uint32_t proc, xdrproc_t encode,
+                   void *args);
+
 /** per_on_peer() - handle and answer the exchange call of a peer. */
 void per_on_peer (struct per_peers *p, struct onc_conn *conn, uint32_t xid,
                   XDR *args, uint64_t now_ns);
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -27,6 +27,7 @@
 # site that has the narrowest links.
 NARROW_LINK = 250000
 NARROW_APPLY_S = 4.0
+CANCEL_S = 3.0
 # A minion may take 50 ms for a stop.
 SLOW_STOP_MS = 45
 # So long that the lease has to end a run.
@@ -127,6 +128,71 @@
         self.assertEqual(c.submit(0, good, prefix="/none/")[0], 404)
         self.assertEqual(c.submit(0, good)[0], 200)
 
+    # Guards against a cancel that reaches an entry which does not have the job:
+    # its tasks go on to start at the other one, whose caller waits.
+    def test_a_cancel_counts_at_every_entry(self):
+        c = self.ready(mcores=2000)
+        for at in (0, 1):
+            with self.subTest(at=at):
+                name, answers = os.urandom(8).hex(), []
+                body = job(count=40, run_ms=200, mcores=1000)
+                caller = threading.Thread(target=lambda: answers.append(
+                    c.submit(0, body, name, wait_ms=20000, timeout=20)))
+                caller.start()
+                time.sleep(0.5)
+                status, _ = http("DELETE", "http://%s/rush/%s" % (
+                    c.addresses[at]["jobs"], name), headers={"Host": HOST})
+                self.assertEqual(status, 200 if at == 0 else 410)
+                caller.join(5)
+                self.assertEqual(answers, [(200, {"state": "cancelled"})])
+                time.sleep(0.5)
+                since = time.monotonic()
+                time.sleep(0.5)
+                self.assertEqual([e for e in c.events() if e["at"] > since
+                                  and e["task"].startswith(name)], [])
+        self.check_rules(c)
+
+    # Guards against a cancel that overtakes the job, or its repetition through
+    # another entry, and against odd ones that do harm.
+    def test_a_job_that_was_cancelled_before_does_not_run(self):
+        c = self.ready()
+        name = os.urandom(8).hex()
+        for i, odd in ((0, name), (0, name), (1, "f" * 15), (1, "x" * 16),
+                       (1, "%00" * 8), (1, "f" * 600)):
+            http("DELETE", "http://%s/rush/%s" % (c.addresses[i]["jobs"], odd),
+                 headers={"Host": HOST})
+        time.sleep(0.2)
+        for i in (0, 1):
+            self.assertEqual(c.submit(i, job(), name),
+                             (200, {"state": "cancelled"}))
+            self.assertEqual(c.submit(i, job())[0], 200)
+        self.assertEqual([e for e in c.events()
+                          if e["task"].startswith(name)], [])
+
+    # Guards against an entry that wakes from a pause with a job that was
+    # cancelled meanwhile at another one.
+    def test_a_paused_entry_learns_of_cancels_when_it_wakes(self):
+        c = self.ready(mcores=2000)
+        name = os.urandom(8).hex()
+        caller = threading.Thread(target=lambda: c.submit(
+            0, job(count=60, run_ms=200, mcores=1000), name, wait_ms=30000,
+            timeout=15))
+        caller.start()
+        time.sleep(0.5)
+        c.entries[0].pause()
+        time.sleep(2)
+        http("DELETE", "http://%s/rush/%s" % (c.addresses[1]["jobs"], name),
+             headers={"Host": HOST})
+        time.sleep(1.5)
+        c.entries[0].resume()
+        time.sleep(CANCEL_S)
+        since = time.monotonic()
+        caller.join(10)
+        time.sleep(0.5)
+        self.assertEqual([e for e in c.events() if e["at"] > since
+                          and e["what"] == "start"
+                          and e["task"].startswith(name)], [])
+
     # Guards against limits for hostile clients that turn away a legal request.
     def test_the_longest_body_is_served_in_calm(self):
         c = self.ready(entries=1, agents=1)
