--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -175,8 +175,8 @@
         c = self.ready(mcores=2000)
         name = os.urandom(8).hex()
         caller = threading.Thread(target=lambda: c.submit(
-            0, job(count=60, run_ms=200, mcores=1000), name, wait_ms=30000,
-            timeout=15))
+            0, job(count=300, run_ms=200, mcores=1000), name, wait_ms=30000,
+            timeout=20))
         caller.start()
         time.sleep(0.5)
         c.entries[0].pause()
