--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,7 @@
 $(B)/lagoonvale-agent: $(B)/daemons/agent_main.o $(B)/liblagoonvale.a
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $(B)/lagoonvale: $(B)/cli/main.o $(B)/cli/cli_rules.o $(B)/cli/cli_jobs.o \
-  $(B)/cli/cli_status.o $(B)/cli/cli_submit.o $(B)/cli/cli_explain.o \
+  $(B)/cli/cli_status.o $(B)/cli/cli_where.o $(B)/cli/cli_submit.o $(B)/cli/cli_explain.o \
   $(B)/cli/cli_report.o $(B)/liblagoonvale.a
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $(B)/lagoonvale-load: $(B)/tools/load.o $(B)/tools/load_scenario.o \
--- a/cli/cli.h
+++ b/cli/cli.h
@@ -60,6 +60,7 @@
 /** Commands; argv[0] is the name of the command. */
 int cli_rules (struct cli_context *cli, int argc, char **argv);
 int cli_status (struct cli_context *cli, int argc, char **argv);
+int cli_where (struct cli_context *cli, int argc, char **argv);
 int cli_settings (struct cli_context *cli, int argc, char **argv);
 int cli_submit (struct cli_context *cli, int argc, char **argv);
 int cli_explain (struct cli_context *cli, int argc, char **argv);
--- a/cli/main.c
+++ b/cli/main.c
@@ -171,6 +171,8 @@
   { "rules", cli_rules, "check, publish, show, diff or explain rules" },
   { "status", cli_status,
     "show an entry's view of the fleet, or which dispatchers are behind" },
+  { "where", cli_where,
+    "explain where a job would go now, without sending it" },
   { "settings", cli_settings, "check a settings file" },
   { "submit", cli_submit, "submit a job and print its answer" },
   { "explain", cli_explain, "show the timeline of a request from the logs" },
--- a/include/lagoonvale/candidate.h
+++ b/include/lagoonvale/candidate.h
@@ -67,6 +67,11 @@
 int cnd_select (const struct cnd_candidate *candidates, unsigned count,
                 const struct cnd_task *task);
 
+/** cnd_cost() - cost of @c, at index @i of @count candidates, for @task; the
+ * lowest is selected.  Says nothing of whether it fits. */
+double cnd_cost (const struct cnd_candidate *c, unsigned i, unsigned count,
+                 const struct cnd_task *task);
+
 /** cnd_may_lose_one() - whether enough candidates of the service are usable
  * that one may be lost to a suspect. */
 bool cnd_may_lose_one (const struct cnd_candidate *candidates, unsigned count);
--- a/man/lagoonvale.bash
+++ b/man/lagoonvale.bash
@@ -1,7 +1,7 @@
 # Completion of lagoonvale for bash, written by make man.
 _lagoonvale ()
 {
-  local words="rules status settings submit explain report cancel --help --version"
+  local words="rules status where settings submit explain report cancel --help --version"
   local last="${COMP_WORDS[COMP_CWORD]}"
   COMPREPLY=()
   if [ "$COMP_CWORD" -gt 1 ]; then
@@ -9,6 +9,7 @@
     case "${COMP_WORDS[1]}" in
     rules) words="--help check diff explain publish show" ;;
     status) words="--entry --help --metrics" ;;
+    where) words="--accelerators --estimate-ms --help --json --mcores --memory-mb --metrics --queue --tasks" ;;
     settings) words="--help --role" ;;
     submit) words="--entry --help --retries" ;;
     explain) words="--help" ;;
--- a/src/candidate.c
+++ b/src/candidate.c
@@ -25,10 +25,9 @@
   return 1 - (double)c->free.mcores / c->total.mcores;
 }
 
-/* Cost of candidate I of COUNT for TASK; the lowest is selected.  */
-static double
-cost_of (const struct cnd_candidate *c, unsigned i, unsigned count,
-         const struct cnd_task *task)
+double
+cnd_cost (const struct cnd_candidate *c, unsigned i, unsigned count,
+          const struct cnd_task *task)
 {
   double offset = task->spread * count * (i + 1);
   double load_weight = task->suspect ? SUSPECT_LOAD_WEIGHT : LOAD_WEIGHT;
@@ -63,7 +62,7 @@
 
       if (!may_run (&candidates[i], task))
         continue;
-      cost = cost_of (&candidates[i], i, count, task);
+      cost = cnd_cost (&candidates[i], i, count, task);
       if (best >= 0 && cost >= best_cost)
         continue;
       best = (int)i;
