Ids of processes are decoded again; tests tell the two refusals of drained agents apart

Cause: since paths have one normal form, the id of a minion's report reached the agent still percent-encoded, and every start was refused (421). Of the two refusals in a drained domain, by the entry and by the agent, each hid the other's absence from the test.

Change: uri_decode; an entry stand-in that orders from a drained agent; no order reaches one once its entries know.

--- a/include/lagoonvale/uri.h
+++ b/include/lagoonvale/uri.h
@@ -20,4 +20,8 @@
  * string.  An incomplete encoding stays as it is. */
 char *uri_path (void *mem_ctx, struct lv_slice path);
 
+/** uri_decode() - bytes that the percent-encoded @segment of a path stands
+ * for; the data is a talloc chunk and may contain any byte, also 0. */
+struct lv_slice uri_decode (void *mem_ctx, struct lv_slice segment);
+
 #endif
--- a/src/uri.c
+++ b/src/uri.c
@@ -90,3 +90,21 @@
   out[n] = '\0';
   return out;
 }
+
+struct lv_slice
+uri_decode (void *mem_ctx, struct lv_slice segment)
+{
+  char *out = xtalloc_size (mem_ctx, segment.len + 1);
+  size_t n = 0;
+  size_t i = 0;
+
+  while (i < segment.len)
+    {
+      int byte = encoded_byte (segment, i);
+
+      out[n++] = byte < 0 ? segment.data[i] : (char)byte;
+      i += byte < 0 ? 1 : ENCODED_BYTES;
+    }
+  out[n] = '\0';
+  return (struct lv_slice){ out, n };
+}
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -150,7 +150,7 @@
      "test_a_drained_domain_gets_no_work"),
     ("drained-agent-accepts-orders", "src/runner_entries.c",
      "  bool open = able && cause == DRN_NONE;", "  bool open = able;",
-     "test_a_drained_domain_gets_no_work"),
+     "test_a_drained_agent_refuses_orders"),
     ("older-drains-taken", "src/drain.c",
      "  if (position <= d->position)\n    return false;\n  drn_finish (d);",
      "  drn_finish (d);",
--- a/tests/process/test_evacuation.py
+++ b/tests/process/test_evacuation.py
@@ -3,16 +3,19 @@
 import http.client as http_client
 import json
 import os
+import struct
 import time
 import unittest
 
 from cluster import http, wait_until
 from platform_cluster import HOST, Callers, PlatformCluster, job
+from test_runner import PROC_OFFSET, REPORT, EntryStandin, frame
 
 # Longest time from the operator's record to the last start there, and the part
 # of it that an instance without the store has.
 BOUND_S = 5.0
 RETRY_S = "5"
+PROGRAM = 0x20004c56  # of the messages between the processes
 
 
 class EvacuationTest(unittest.TestCase):
@@ -51,7 +54,10 @@
         c.set_mode(c.minions[1], busy=1)  # what is refused is placed again
         time.sleep(0.2)
         c.set_mode(c.minions[1], busy=0)
+        refused = c.metric(c.agents[0], "lagoonvale_runs_drained_total")
         self.check_no_start(c, 0)
+        self.assertEqual(refused, c.metric(
+            c.agents[0], "lagoonvale_runs_drained_total"))
         self.assertGreater(len(self.starts(c, 1, drained)), 10)
         c.drain("d0", False)
         self.await_drained(c, 0)
@@ -179,5 +185,63 @@
         connection.close()
 
 
+class OrderingEntry(EntryStandin):
+    """Orders one run with each answer to a report once ORDERING is set.  Its
+    answers say whether the agent's domain is DRAINED."""
+
+    ORDER, STAMP_OFFSET, DRAIN_BYTES = 15, 40, 12
+
+    def __init__(self):
+        self.ordering = self.drained = False
+        self.ordered = 0
+        super().__init__()
+
+    def answer(self, call):
+        answer = super().answer(call)
+        if answer is None:
+            return None
+        position = 2 if self.drained else 1
+        return (answer[:-self.DRAIN_BYTES]
+                + struct.pack(">QI", position, self.drained))
+
+    def calls_after(self, call):
+        proc, = struct.unpack_from(">I", call, PROC_OFFSET)
+        if not self.ordering or proc != REPORT:
+            return b""
+        stamp, = struct.unpack_from(">Q", call, self.STAMP_OFFSET)
+        self.ordered += 1
+        header = struct.pack(">IIIIIIIIII", self.ordered, 0, 2, PROGRAM, 1,
+                             self.ORDER, 0, 0, 0, 0)
+        need = struct.pack(">IIII", 1000, 64, 0, 5)  # and the estimate, ms
+        run = struct.pack(">IQII", 1, self.ordered, 0, 1)
+        return frame(header + struct.pack(">Q", stamp)
+                     + xdr_opaque(b"j%d" % self.ordered)
+                     + xdr_opaque(job(run_ms=5)["spec"].encode()) + need + run
+                     + xdr_opaque(b"q") + struct.pack(">III", 0, 0, 0))
+
+
+def xdr_opaque(data):
+    return struct.pack(">I", len(data)) + data + bytes(-len(data) % 4)
+
+
+class Agent(EvacuationTest):
+    # Guards against starts by orders that were sent before the entry knew of
+    # the drain.
+    def test_a_drained_agent_refuses_orders(self):
+        entry = OrderingEntry()
+        self.addCleanup(entry.listener.close)
+        c = self.cluster(entries=0, agents=1, seeds=[entry.address])
+        agent, drained = c.agents[0], "lagoonvale_drained"
+        entry.ordering = True
+        self.assertTrue(wait_until(lambda: self.starts(c, 0, 0)))
+        entry.drained = True
+        self.assertTrue(wait_until(lambda: c.metric(agent, drained) == 1))
+        ordered = entry.ordered
+        self.check_no_start(c, 0)
+        self.assertGreater(entry.ordered, ordered)
+        self.assertGreater(
+            c.metric(agent, "lagoonvale_runs_drained_total"), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/process/test_runner.py
+++ b/tests/process/test_runner.py
@@ -55,6 +55,10 @@
         return done.stderr
 
 
+def frame(message):
+    return struct.pack(">I", 0x80000000 | len(message)) + message
+
+
 class EntryStandin(threading.Thread):
     """Answers joins and reports; lists only itself.  Records the time and the
     known list digest of each report."""
@@ -86,8 +90,7 @@
             answer = self.answer(call)
             if answer is not None:
                 reply = call[:4] + REPLY + answer
-                connection.sendall(
-                    struct.pack(">I", 0x80000000 | len(reply)) + reply)
+                connection.sendall(frame(reply) + self.calls_after(call))
 
     def answer(self, call):
         proc, = struct.unpack_from(">I", call, PROC_OFFSET)
@@ -104,6 +107,10 @@
             return struct.pack(">IQIII", 0, DIGEST, 1, at, port) + NO_DRAIN
         return report
 
+    def calls_after(self, _call):
+        """Calls to the agent that follow the answer to CALL, framed."""
+        return b""
+
 
 class Reports(unittest.TestCase):
     def test_the_whole_list_is_requested_every_five_seconds(self):
@@ -243,7 +250,7 @@
         report = {"service": SERVICE, "state": "ready", "seq": 1000,
                   "born": c.born(0),
                   "room": {"cpu": 8000, "mem_mb": 65536, "gpu": 0}}
-        for name in ("", "i%0d%0aX:%201", "i%ff", "i" * 64, "i" * 4000):
+        for name in ("", "i%0d%0aX:%201", "i%ff", "i" * 256, "i" * 4000):
             with self.subTest(name=name[:20]):
                 url = "http://%s/instances/%s" % (c.agents[0].address, name)
                 self.assertEqual(http("PUT", url, report)[0], 200)
--- a/tests/unit/uri_test.cc
+++ b/tests/unit/uri_test.cc
@@ -69,6 +69,29 @@
     }
 }
 
+/* Bytes that a client encodes arrive as themselves, as in names of processes.  */
+TEST (Uri, SegmentsAreDecoded)
+{
+  const struct
+  {
+    std::string segment, decoded;
+  } cases[] = {
+    { "", "" },       { "i-1", "i-1" },     { "i%2D1", "i-1" },
+    { "a%2Fb", "a/b" }, { "a%0d%0A", "a\r\n" }, { "%ff", "\xff" },
+    { "%00x", std::string ("\0x", 2) },     { "%", "%" },
+    { "%4", "%4" },   { "%zz", "%zz" },     { "%2541", "%41" },
+  };
+
+  for (const auto &c : cases)
+    {
+      struct lv_slice out
+          = uri_decode (nullptr, { c.segment.data (), c.segment.size () });
+
+      EXPECT_EQ (std::string (out.data, out.len), c.decoded) << c.segment;
+      talloc_free (const_cast<char *> (out.data));
+    }
+}
+
 /* Queues and requests are brought to the same form, whichever of them has
    another spelling; long hosts and paths are found.  */
 TEST (Uri, QueuesAreFoundByEachSpelling)
