Fuzz: amounts and paths; seeds that are messages again; a stray % in a path is encoded

Cause: the normal form left a % that begins no encoding as it was, so "%4%31" became "%41", another path. The seeds of the fuzz target had stopped to be messages with the first member that was added to them.

Change: needs_encoding(); targets for amounts and paths with their properties; new seeds, which a test decodes.

--- a/src/uri.c
+++ b/src/uri.c
@@ -61,31 +61,37 @@
   return high >= 0 && low >= 0 ? high * 16 + low : -1;
 }
 
+/* Whether C, which is not part of an encoding, must be encoded in a path.  */
+static bool
+needs_encoding (char c)
+{
+  return c == '%' || c == ' ' || (unsigned char)c >= 0x80;
+}
+
 char *
 uri_path (void *mem_ctx, struct lv_slice path)
 {
-  char *out = xtalloc_size (mem_ctx, path.len + 1);
+  static const char digits[] = "0123456789ABCDEF";
+  char *out = xtalloc_size (mem_ctx, ENCODED_BYTES * path.len + 1);
   size_t n = 0;
   size_t i = 0;
 
   while (i < path.len)
     {
-      int byte = encoded_byte (path, i);
+      int encoded = encoded_byte (path, i);
+      int byte = encoded < 0 ? (unsigned char)path.data[i] : encoded;
+      bool plain
+          = encoded < 0 ? !needs_encoding ((char)byte) : is_unreserved (byte);
 
-      if (byte < 0)
-        out[n++] = path.data[i++];
-      else if (is_unreserved (byte))
-        {
-          out[n++] = (char)byte;
-          i += ENCODED_BYTES;
-        }
+      if (plain)
+        out[n++] = (char)byte;
       else
         {
           out[n++] = '%';
-          out[n++] = (char)toupper ((unsigned char)path.data[i + 1]);
-          out[n++] = (char)toupper ((unsigned char)path.data[i + 2]);
-          i += ENCODED_BYTES;
+          out[n++] = digits[byte >> 4];
+          out[n++] = digits[byte & 0xf];
         }
+      i += encoded < 0 ? 1 : ENCODED_BYTES;
     }
   out[n] = '\0';
   return out;
--- a/tests/fuzz/fuzz.c
+++ b/tests/fuzz/fuzz.c
@@ -3,7 +3,8 @@
  *
  * libFuzzer target for the parsers of untrusted input: rule files, settings,
  * ids, membership and rules records, submissions, what callers, minions and
- * the store of the platform send, and RPC messages of both directions.
+ * the store of the platform send, amounts, paths, and RPC messages of both
+ * directions.
  */
 #include <stdint.h>
 #include <stdlib.h>
@@ -11,6 +12,7 @@
 #include <talloc.h>
 
 #include "lagoonvale/lagoonvale.h"
+#include "lagoonvale/uri.h"
 #include "jsonx.h"
 #include "pfm_config.h"
 #include "pfm_job.h"
@@ -100,6 +102,46 @@
   talloc_free (mem_ctx);
 }
 
+/* A number that is taken over is the one that is written, and the rounding
+   goes its way.  */
+static void
+fuzz_amounts (struct lv_slice text)
+{
+  struct json_object *json = json_object_new_object ();
+  struct json_object *number = jsx_parse (text);
+  double written = json_object_get_double (number);
+  uint32_t down;
+  uint32_t up;
+  uint32_t whole;
+
+  json_object_object_add (json, "n", number);
+  if (jsx_get_amount (json, "n", JSX_DOWN, &down) == 0
+      && jsx_get_amount (json, "n", JSX_UP, &up) == 0
+      && (down > written || up < written || up - down > 1))
+    abort ();
+  if (jsx_get_amount (json, "n", JSX_WHOLE, &whole) == 0 && whole != written)
+    abort ();
+  json_object_put (json);
+}
+
+/* The normal form of a path is its own normal form, and stands for the same
+   bytes.  */
+static void
+fuzz_paths (struct lv_slice text)
+{
+  void *mem_ctx = xtalloc_check (talloc_new (NULL));
+  struct lv_slice path = lv_slice_of (xtalloc_strndup (mem_ctx, text.data,
+                                                       text.len));
+  struct lv_slice normal = lv_slice_of (uri_path (mem_ctx, path));
+  struct lv_slice again = lv_slice_of (uri_path (mem_ctx, normal));
+
+  if (!lv_slice_eq (again, normal)
+      || !lv_slice_eq (uri_decode (mem_ctx, normal),
+                       uri_decode (mem_ctx, path)))
+    abort ();
+  talloc_free (mem_ctx);
+}
+
 static void
 fuzz_store_records (struct lv_slice text)
 {
@@ -176,6 +218,7 @@
   FUZZ_MESSAGE (lvp_peer, text);
   FUZZ_MESSAGE (lvp_config_req, text);
   FUZZ_MESSAGE (lvp_config, text);
+  FUZZ_MESSAGE (lvp_cancels, text);
 }
 
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
@@ -190,6 +233,8 @@
   fuzz_submission (text);
   fuzz_config (text);
   fuzz_platform (text);
+  fuzz_amounts (text);
+  fuzz_paths (text);
   fuzz_store_records (text);
   fuzz_settings (text);
   fuzz_messages (text);
--- a/tests/unit/wire_test.cc
+++ b/tests/unit/wire_test.cc
@@ -1,5 +1,8 @@
 #include <cstring>
+#include <fstream>
 #include <gtest/gtest.h>
+#include <iterator>
+#include <string>
 extern "C"
 {
 #include "wire.h"
@@ -26,4 +29,34 @@
       WIR_FREE (lvp_stop, &in);
     }
 }
+
+template <typename Message, typename Decode>
+void
+check_seed (const char *name, Decode decode)
+{
+  std::ifstream file ("tests/fuzz/corpus/" + std::string (name) + ".xdr",
+                      std::ios::binary);
+  std::string text ((std::istreambuf_iterator<char> (file)), {});
+  Message message = {};
+  XDR xdr;
+
+  xdrmem_create (&xdr, text.data (), (u_int)text.size (), XDR_DECODE);
+  EXPECT_TRUE (decode (&xdr, &message)) << name;
+  EXPECT_EQ (xdr_getpos (&xdr), text.size ()) << name;
+  xdr_free ((xdrproc_t)decode, reinterpret_cast<char *> (&message));
+}
+
+/* Guards against seeds of the fuzz target that no longer are messages since a
+   member was added: nothing behind that member is reached then.  */
+TEST (Wire, SeedsOfTheFuzzTargetAreWholeMessages)
+{
+  check_seed<lvp_cancels> ("cancels", xdr_lvp_cancels);
+  check_seed<lvp_ends> ("ends", xdr_lvp_ends);
+  check_seed<lvp_join> ("join", xdr_lvp_join);
+  check_seed<lvp_loss> ("loss", xdr_lvp_loss);
+  check_seed<lvp_order> ("order", xdr_lvp_order);
+  check_seed<lvp_config> ("page", xdr_lvp_config);
+  check_seed<lvp_peer> ("peer", xdr_lvp_peer);
+  check_seed<lvp_report> ("report", xdr_lvp_report);
+}
 }
