Tests: a process that should be gone reports what its threads wait for

Cause: the one failure of test_a_leaving_entry_answers_all left no trace.

Change: Process.describe_threads(), printed when the entry is still there.

--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -1066,7 +1066,8 @@
             thread.join()
         self.assertEqual(answers, {name: case[2]
                                    for name, case in cases.items()})
-        self.assertTrue(wait_until(lambda: not c.entries[0].alive(), 2))
+        if not wait_until(lambda: not c.entries[0].alive(), 2):
+            self.fail(c.entries[0].describe_threads())
         self.assertEqual(c.entries[0].popen.returncode, 0)
         self.assertIn("event=stopped open=0", c.log_of(c.entries[0]))
 
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -116,6 +116,21 @@
     def resume(self):
         self.send(signal.SIGCONT)
 
+    def describe_threads(self):
+        """State, wait channel and system call of each thread, for a report on
+        a process that should have ended."""
+        lines = []
+        base = "/proc/%d/task" % self.popen.pid
+        for thread in os.listdir(base):
+            for name in ("stat", "wchan", "syscall"):
+                try:
+                    with open(os.path.join(base, thread, name)) as f:
+                        text = f.read()
+                except OSError as error:
+                    text = str(error)
+                lines.append("%s %s: %s" % (thread, name, text.strip()))
+        return "\n".join(lines)
+
     def cpu_s(self):
         with open("/proc/%d/stat" % self.popen.pid) as f:
             fields = f.read().rsplit(")", 1)[1].split()
