Runs of more than a minute are not taken for hung ones

Cause: beyond six estimates a run was stopped after 700 ms without a new percent, which one of more than 70 s does not show more often.

Change: the time allowed for a percent follows from that of those before it.

Seen: Runtracker.ALongRunWithAWrongEstimateMayEnd failed at 300 s (simulated); runs below 12 s are judged as before.

--- a/src/runtracker.c
+++ b/src/runtracker.c
@@ -10,7 +10,8 @@
 /* A run without progress for this long is stalled, ns: at least five listings
    of the minion.  */
 #define STALL_TIMEOUT_NS (700 * CLK_MS)
-/* On a healthy minion a run takes at most this multiple of its estimate.  */
+/* On a healthy minion a run takes at most this multiple of its estimate, and
+   each percent at most this multiple of what those before it took.  */
 #define SLOW_FACTOR 6
 
 void
@@ -328,6 +329,20 @@
     }
 }
 
+/* Time until the next percent of RUN after which it is stalled, ns.  A run of
+   more than a minute shows a new percent less often than the timeout.  */
+static uint64_t
+stall_timeout (const struct rtk_run *run)
+{
+  uint64_t slow_ns;
+
+  if (run->percent == 0)
+    return STALL_TIMEOUT_NS;
+  slow_ns = clk_since (run->progress_ns, run->started_ns) / run->percent
+            * SLOW_FACTOR;
+  return slow_ns > STALL_TIMEOUT_NS ? slow_ns : STALL_TIMEOUT_NS;
+}
+
 static bool
 is_stalled (const struct rtk_run *run, uint64_t now_ns)
 {
@@ -335,7 +350,7 @@
 
   if (run->state != RTK_RUNNING || run->owner == 0)
     return false;
-  return clk_since (now_ns, run->progress_ns) > STALL_TIMEOUT_NS
+  return clk_since (now_ns, run->progress_ns) > stall_timeout (run)
          && clk_since (now_ns, run->started_ns) > slow_ns;
 }
 
--- a/tests/unit/dispatch_test.cc
+++ b/tests/unit/dispatch_test.cc
@@ -406,6 +406,45 @@
     }
 }
 
+/* A run that takes far longer than its estimate may end if it goes on: one of
+   70 s and more shows a new percent less often than the timeout, and was
+   stopped again and again.  One that hangs is stopped all the same.  */
+TEST_F (Runtracker, ALongRunWithAWrongEstimateMayEnd)
+{
+  const struct
+  {
+    uint64_t run_ms, hangs_at_ms, stopped_by_ms;
+  } cases[] = {
+    { 70000, UINT64_MAX, UINT64_MAX },
+    { 71000, UINT64_MAX, UINT64_MAX },
+    { 300000, UINT64_MAX, UINT64_MAX },
+    { 70000, 35000, 35000 + 7 * 700 },
+    { 300000, 150000, 150000 + 7 * 3000 },
+    { 20000, 10000, 10000 + 2 * 700 },
+  };
+  for (const auto &c : cases)
+    {
+      uint64_t at = 0;
+
+      rtk_finish (&tracker);
+      stops.clear ();
+      struct rtk_run *run = order ("a");
+      run->estimate_ms = 1000;
+      rtk_mark_started (&tracker, run, 0);
+      for (; at < c.run_ms && stops.empty (); at += 100)
+        {
+          uint64_t worked = at < c.hangs_at_ms ? at : c.hangs_at_ms;
+          struct rtk_listed_run listed = { lv_slice_of ("a"), run->attempt,
+                                           uint32_t (worked * 100 / c.run_ms) };
+
+          rtk_apply_running (&tracker, &listed, 1, at * kMs, at * kMs);
+          rtk_tick (&tracker, at * kMs);
+        }
+      EXPECT_EQ (!stops.empty (), c.stopped_by_ms != UINT64_MAX) << c.run_ms;
+      EXPECT_LE (at, c.stopped_by_ms) << c.run_ms;
+    }
+}
+
 /* A crash says nothing of a task whose start the minion may never have
    executed: its job must not be blamed.  */
 TEST_F (Runtracker, ACrashEndsOnlyExecutedRunsAsCrashed)
