abandoned: a thousand random histories of losses, joins and restarts

Cause: the ways in which the end of a run becomes known were tested one by one.

Change: History, a model of three agents whose runs end by stops or leases; no job is free while a run of it goes on, and none waits for good.

--- a/tests/unit/abandoned_test.cc
+++ b/tests/unit/abandoned_test.cc
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 extern "C"
@@ -129,4 +131,158 @@
   EXPECT_EQ (runs.runs, nullptr);
   EXPECT_EQ (runs.jobs, nullptr);
 }
+
+/* An agent of a random history: runs end there by their stops, or by the lease
+   once the agent is lost.  Times in ms.  */
+struct Agent
+{
+  bool connected = true;
+  uint64_t lost = 0;
+  std::map<uint64_t, uint64_t> ends, reports; /* run: time */
+  std::set<uint64_t> orphans; /* runs of its former process: not renewed */
+};
+
+constexpr uint64_t kLease = 1162, kStop = 50, kLatency = 30, kSteps = 4000;
+
+class History : public Abandoned
+{
+protected:
+  uint64_t
+  below (uint64_t n)
+  {
+    return std::uniform_int_distribution<uint64_t> (0, n - 1) (random);
+  }
+
+  void
+  withdraw (uint64_t now)
+  {
+    std::string id = "j" + std::to_string (below (4));
+
+    if (any (id.c_str ()))
+      return; /* its repetition still waits: nothing is placed */
+    for (uint64_t i = below (4) + 1; i > 0; i--)
+      {
+        Agent &at = agents[below (3)];
+        uint64_t run = ++last;
+
+        jobs[run] = id;
+        at.ends[run] = at.connected ? now + below (kStop)
+                                    : at.lost + below (kLease);
+        at.reports[run] = at.ends[run] + below (kLatency);
+        add (id.c_str (), run, &at,
+             at.connected ? ABD_UNTIL_REPORTED : at.lost + kLease);
+      }
+  }
+
+  void
+  lose (Agent &at, uint64_t now)
+  {
+    at.connected = false;
+    at.lost = now;
+    for (auto &end : at.ends)
+      if (end.second > now && at.orphans.count (end.first) == 0)
+        {
+          end.second = now + below (kLease);
+          at.reports.erase (end.first);
+        }
+    abd_agent_lost (&runs, &at, now + kLease);
+  }
+
+  /* AT joins again: as the same process, which lists its runs, or as a new
+     one, which finds them at its minion and stops them.  */
+  void
+  join (Agent &at, uint64_t now, bool restarted)
+  {
+    std::vector<uint64_t> listed;
+    bool synced = !restarted;
+
+    at.connected = true;
+    if (restarted)
+      at.reports.clear ();
+    for (auto &end : at.ends)
+      {
+        if (end.second <= now)
+          continue;
+        if (restarted)
+          at.orphans.insert (end.first);
+        if (at.orphans.count (end.first) > 0)
+          synced = false;
+        else
+          {
+            listed.push_back (end.first);
+            at.reports[end.first] = end.second + below (kLatency);
+          }
+      }
+    list (&at, listed, synced ? 0 : now + kLease);
+  }
+
+  void
+  report (Agent &at, uint64_t now)
+  {
+    for (auto it = at.reports.begin (); it != at.reports.end ();)
+      if (it->second <= now && at.connected)
+        {
+          abd_ended (&runs, it->first);
+          it = at.reports.erase (it);
+        }
+      else
+        ++it;
+  }
+
+  void
+  check (uint64_t now)
+  {
+    for (const Agent &at : agents)
+      for (const auto &end : at.ends)
+        if (end.second > now)
+          {
+            ASSERT_TRUE (any (jobs[end.first].c_str ()))
+                << "run " << end.first << " at " << now;
+          }
+  }
+
+  void
+  play (unsigned seed)
+  {
+    random.seed (seed);
+    agents = std::vector<Agent> (3);
+    jobs.clear ();
+    for (uint64_t now = 1; now < kSteps; now++)
+      {
+        if (now < kSteps / 2 && below (20) == 0)
+          withdraw (now);
+        for (Agent &at : agents)
+          {
+            if (now < kSteps / 2 && below (400) == 0)
+              {
+                if (at.connected)
+                  lose (at, now);
+                else
+                  join (at, now, below (2));
+              }
+            report (at, now);
+          }
+        abd_expire (&runs, now);
+        check (now);
+      }
+    EXPECT_EQ (runs.runs, nullptr);
+  }
+
+  std::mt19937 random;
+  std::vector<Agent> agents;
+  std::map<uint64_t, std::string> jobs;
+  uint64_t last = 0;
+};
+
+/* Guards against any order of withdrawals, losses, joins and restarts after
+   which a job is placed while a run of it goes on, or waits for good.  */
+TEST_F (History, NoJobIsFreeWhileARunGoesOnAndNoneWaitsForGood)
+{
+  for (unsigned seed = 0; seed < 1000 && !HasFailure (); seed++)
+    {
+      SCOPED_TRACE (seed);
+      play (seed);
+      abd_finish (&runs);
+    }
+}
 }
