Tests: jobs sent again beside lost agents, and beside their first request

Change: two process tests: agents restarted, paused for 0.3 and 1.5 s; repetitions while the first request is open.

--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -386,6 +386,53 @@
                                           name)[0], 200)
         self.check_rules(c)
 
+    # Guards against two runs of a task at a time when an agent that has former
+    # runs of the job is lost at that moment, or is back too soon.
+    def test_a_job_sent_again_beside_a_lost_agent_runs_once_at_a_time(self):
+        c = self.ready()
+
+        def restart(agent):
+            agent.kill()
+            agent.start()
+
+        def pause(agent, seconds):
+            agent.pause()
+            time.sleep(seconds)
+            agent.resume()
+        upsets = {"restarted": restart, "paused": lambda a: pause(a, 0.3),
+                  "paused for long": lambda a: pause(a, 1.5)}
+        for upset, cause in upsets.items():
+            with self.subTest(upset=upset):
+                name = os.urandom(8).hex()
+                c.submit(0, job(count=8, run_ms=400), name, timeout=0.1)
+                thread = threading.Thread(target=cause, args=(c.agents[0],))
+                thread.start()
+                # It is refused as not run once its answer would be too late.
+                while True:
+                    status, answer = c.submit(0, job(count=8, run_ms=50), name)
+                    if status != 503:
+                        break
+                    self.assertEqual(answer, {"error": "not run"})
+                self.assertEqual(status, 200)
+                thread.join()
+        self.check_rules(c)
+
+    # Guards against a repetition beside its first request, which is still open,
+    # that is placed as a job of its own.
+    def test_a_repetition_beside_its_first_request_runs_once_at_a_time(self):
+        c = self.ready()
+        name = os.urandom(8).hex()
+        statuses = []
+        threads = [threading.Thread(target=lambda: statuses.append(c.submit(
+            0, job(count=4, run_ms=300), name)[0])) for _ in range(4)]
+        for thread in threads:
+            thread.start()
+            time.sleep(0.02)
+        for thread in threads:
+            thread.join()
+        self.assertIn(200, statuses)
+        self.check_rules(c)
+
 
 class Configuration(PlatformTest):
     def test_queue_changes_apply_in_time(self):
