Configuration: a prefix is checked before it is brought to its normal form

Callers saw: 404 for all jobs of a queue, once another writer had put a configuration whose prefix is U+2028, U+2029 or another byte that breaks lines.

Cause: since the normal form encodes all bytes beyond ASCII, and the check of names was made of the encoded text, which is always valid.

Config.EachTextOfAQueueIsRefusedIfItIsBad failed for U+0085, U+2028, U+2029 and 0xff in prefixes before.

--- a/src/catalog.c
+++ b/src/catalog.c
@@ -79,12 +79,21 @@
          && q->service != NULL;
 }
 
+static bool
+is_valid_text (const char *text)
+{
+  struct lv_slice slice = lv_slice_of (text);
+
+  return slice.len <= CAT_TEXT_MAX && nam_valid (slice);
+}
+
 struct cat_queue *
 cat_add_queue (struct cat_config *c, const struct cat_queue *from)
 {
   struct cat_queue *to;
 
-  if (!has_all_texts (from)
+  /* In its normal form, a prefix that breaks lines would be a valid text.  */
+  if (!has_all_texts (from) || !is_valid_text (from->prefix)
       || (c->count == c->allocated
           && resize (c, c->count + c->count / 2 + ADDED_MIN) != 0))
     return NULL;
@@ -103,14 +112,6 @@
   return to;
 }
 
-static bool
-is_valid_text (const char *text)
-{
-  struct lv_slice slice = lv_slice_of (text);
-
-  return slice.len <= CAT_TEXT_MAX && nam_valid (slice);
-}
-
 static bool
 has_valid_names (const struct cat_queue *q)
 {
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -456,9 +456,12 @@
             dict(queue("rush", "/rush/"), **{key: value})]}).encode()
             for key in ("name", "host", "path_prefix", "service")
             for value in ("a\nb", "a\x00", "\u2029", "", 7, None)]
-        for body in bad:
+        for n, body in enumerate(bad, 1):
             http("POST", "http://%s/test/put?key=config" % c.store.address,
                  body)
+            # Each one is read, not only the last of them.
+            self.assertTrue(wait_until(lambda: c.log_of(c.entries[0]).count(
+                "event=config-bad ") >= n, 5), body)
         http("POST", "http://%s/test/put?key=other" % c.store.address, b"{}")
         time.sleep(0.5)
         self.assertEqual(c.submit(0, job())[0], 200)
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -248,6 +248,48 @@
     }
 }
 
+// Guards against a text that breaks lines, or is none, which is taken over in
+// another form: the configuration with it takes the place of a sound one.
+TEST (Config, EachTextOfAQueueIsRefusedIfItIsBad)
+{
+  const char *keys[] = { "name", "host", "path_prefix", "service" };
+  const struct
+  {
+    const char *value;
+    bool valid;
+  } cases[] = {
+    { "\"/a/\"", true },
+    { "\"\\u00e9\"", true },
+    { "\"a\\nb\"", false },
+    { "\"a\\u0000\"", false },
+    { "\"a\\u0000b\"", false },
+    { "\"\\u001b\"", false },
+    { "\"\\u0085\"", false },
+    { "\"\\u2028\"", false },
+    { "\"\\u2029\"", false },
+    { "\"\xff\"", false },
+    { "\"\"", false },
+    { "7", false },
+    { "null", false },
+    { "[\"/a/\"]", false },
+  };
+
+  for (const char *bad : keys)
+    for (const auto &c : cases)
+      {
+        std::string text = "{\"version\":7,\"routes\":[{";
+
+        for (const char *key : keys)
+          text += std::string (key == keys[0] ? "" : ",") + "\"" + key + "\":"
+                  + (key == bad ? c.value : "\"/a/\"");
+        text += "}]}";
+        struct cat_config *config
+            = pfm_config_decode (nullptr, lv_slice_of (text.c_str ()));
+        EXPECT_EQ (config != nullptr, c.valid) << text;
+        talloc_free (config);
+      }
+}
+
 // Guards against a warm-up that is lost on its way to the queues of a service,
 // whichever comes first, and against odd numbers in its place.
 TEST (Config, QueuesKnowHowTheirMinionsWarmUp)
