--- a/src/dispatch_place.c
+++ b/src/dispatch_place.c
@@ -265,7 +265,7 @@
    queues.  */
 struct blocked_service
 {
-  const char *service;
+  struct lv_slice service;
   bool confined;
 };
 
@@ -277,20 +277,21 @@
 };
 
 static bool
-is_blocked (const struct blocked_services *blocked, const char *service,
+is_blocked (const struct blocked_services *blocked, struct lv_slice service,
             bool confined)
 {
   unsigned i;
 
   for (i = 0; i < blocked->count; i++)
     if (blocked->item[i].confined == confined
-        && strcmp (blocked->item[i].service, service) == 0)
+        && lv_slice_eq (blocked->item[i].service, service))
       return true;
   return false;
 }
 
 static void
-block (struct blocked_services *blocked, const char *service, bool confined)
+block (struct blocked_services *blocked, struct lv_slice service,
+       bool confined)
 {
   struct blocked_service new = { service, confined };
 
@@ -358,7 +359,7 @@
   else
     {
       job->reserving = cnd_is_large (d->candidates, p->count, &job->need);
-      block (&p->blocked, job->service, confined);
+      block (&p->blocked, lv_slice_of (job->service), confined);
     }
 }
 
@@ -380,7 +381,7 @@
   {
     bool confined = dsp_is_confined (d, job);
 
-    if (is_blocked (&p.blocked, job->service, confined)
+    if (is_blocked (&p.blocked, lv_slice_of (job->service), confined)
         || abd_any (&d->abandoned, lv_slice_of (job->id)))
       continue;
     list_for (d, &p, job, confined);
