A leaving dispatcher refuses what waits and may not end before its exit

Callers saw: 504 (may have run) for a job that had waited at a leaving dispatcher, was started 0.4 s before its exit, and stopped with it. It could have been sent elsewhere seconds before.

Cause: only new jobs were checked against the time that is left; those in the queue kept waiting until the last 0.2 s, or were started.

Change: refuse_before_shutdown(): a waiting job without any order is refused (not run, Retry-After 1 s) once three times its declared time no longer fits.

--- a/src/dispatch_jobs.c
+++ b/src/dispatch_jobs.c
@@ -279,6 +279,32 @@
     }
 }
 
+/* Whether a job whose tasks take ESTIMATE_MS each, and that waits for at most
+   WAIT_NS, will end before this process does.  */
+static bool
+ends_before_shutdown (const struct dsp_dispatch *d, uint32_t estimate_ms,
+                      uint64_t wait_ns, uint64_t now_ns)
+{
+  uint64_t run_ns = CLK_MS * RUN_TIME_MARGIN * estimate_ms;
+
+  return !d->leaving
+         || now_ns + run_ns + wait_ns + LAST_ANSWERS_NS < d->shutdown_ns;
+}
+
+/* Refuse jobs without any order that may outlast this process: started now,
+   they would be given up when it ends, and could not be sent elsewhere.  */
+static void
+refuse_before_shutdown (struct dsp_dispatch *d, uint64_t now_ns)
+{
+  struct jtb_job *job;
+  struct jtb_job *next;
+
+  DL_FOREACH_SAFE (d->jobs.queue, job, next)
+  if (job->orders == 0
+      && !ends_before_shutdown (d, job->estimate_ms, 0, now_ns))
+    refuse_accepted (d, job, "leaving", RETRY_ELSEWHERE_MS);
+}
+
 /* Answer whatever is open when the process is about to end: what runs longer
    than its estimate may have been accepted during the shutdown.  */
 static void
@@ -304,6 +330,7 @@
     if (now_ns >= job->deadline_ns)
       give_up_job (d, job, "deadline", overload_retry_ms (d, 0));
   }
+  refuse_before_shutdown (d, now_ns);
   give_up_at_shutdown (d, now_ns);
   refuse_unmeetable (d, now_ns);
   refuse_confined (d);
@@ -376,18 +403,6 @@
   return cnd_any_could_fit (d->candidates, n, &job->need);
 }
 
-/* Whether JOB will end before this process does.  */
-static bool
-ends_before_shutdown (const struct dsp_dispatch *d, const struct dsp_job *job)
-{
-  uint64_t run_ns = CLK_MS * RUN_TIME_MARGIN * job->estimate_ms;
-  uint64_t target_ns = CLK_MS * job->queue->target_ms;
-
-  return !d->leaving
-         || clk_boot () + run_ns + target_ns + LAST_ANSWERS_NS
-                < d->shutdown_ns;
-}
-
 /* The same job was sent again while it is open: the new caller gets the
    answer, the former one is told that the job was sent again.  */
 static void
@@ -448,7 +463,8 @@
       job->answer (&answer, job->priv);
       return;
     }
-  if (!ends_before_shutdown (d, job))
+  if (!ends_before_shutdown (d, job->estimate_ms,
+                             CLK_MS * job->queue->target_ms, clk_boot ()))
     {
       refuse (d, job, "leaving", RETRY_ELSEWHERE_MS);
       return;
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -155,6 +155,12 @@
      "  return slow_ns > STALL_TIMEOUT_NS ? slow_ns : STALL_TIMEOUT_NS;",
      "  return STALL_TIMEOUT_NS;",
      "unit"),
+    ("leaving-entry-keeps-what-waits", "src/dispatch_jobs.c",
+     "  refuse_before_shutdown (d, now_ns);\n", "",
+     "test_a_leaving_entry_refuses_what_waits"),
+    ("prefix-checked-in-its-normal-form", "src/catalog.c",
+     " || !is_valid_text (from->prefix)\n", "\n",
+     "unit"),
     ("older-drains-taken", "src/drain.c",
      "  if (position <= d->position)\n    return false;\n  drn_finish (d);",
      "  drn_finish (d);",
@@ -228,7 +234,7 @@
         argv = ([os.path.join(copy, "build", "unit"), "--gtest_brief=1"]
                 if test == "unit" else
                 [sys.executable, "tests/run.py", test])
-        done = subprocess.run(argv, cwd=copy, capture_output=True, text=True,
+        done = subprocess.run(argv, cwd=copy, capture_output=True, text=True, errors="replace",
                               env=dict(os.environ, LV_BUILD=os.path.join(
                                   copy, "build")))
         if re.search(r"^0 passed, 0 failed", done.stdout, re.M):
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -1121,6 +1121,32 @@
         self.assertEqual(c.entries[0].popen.returncode, 0)
         self.assertIn("event=stopped open=0", c.log_of(c.entries[0]))
 
+    # Guards against a waiting job that a leaving entry starts so late that it
+    # ends without the job's end: its caller cannot send it elsewhere.
+    def test_a_leaving_entry_refuses_what_waits_too_long_to_end(self):
+        c = self.ready(entries=1, agents=1)
+        c.publish(dict(queue("rush", "/rush/"), target_latency_ms=8000))
+        time.sleep(CONFIG_APPLY_S)
+        answers = {}
+
+        def call(name, run_ms):
+            body = job(count=2, mcores=4000, run_ms=run_ms)
+            body["steps"][0]["estimate_ms"] = 600
+            answers[name] = c.submit(0, body, name * 16, wait_ms=10000,
+                                     timeout=12)[0]
+        threads = [threading.Thread(target=call, args=case)
+                   for case in (("a", 4900), ("b", 600))]
+        for thread in threads:
+            thread.start()
+            time.sleep(0.2)
+        c.entries[0].send(15)
+        for thread in threads:
+            thread.join()
+        self.assertEqual(answers, {"a": 200, "b": 503})
+        self.assertEqual([e for e in c.events() if e["what"] == "start"
+                          and e["task"].startswith("b")], [])
+        self.check_rules(c)
+
     def test_a_leaving_agent_lets_its_runs_end(self):
         c = self.ready(agents=2)
         callers = Callers(c, workers=4, count=2, run_ms=200)
