One module for bodies that arrive in parts

Change: body (bdy_append, bdy_free, bdy_announces_too_much); web.c and entry_http.c keep the budget and the lock.

--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 #include <urcu-bp.h>
 
+#include "body.h"
 #include "entry_parts.h"
 #include "net.h"
 #include "xtalloc.h"
@@ -18,14 +19,10 @@
 /* Memory of each connection in libmicrohttpd, bytes: headers only.  */
 #define CONNECTION_BYTES ((size_t)8192)
 #define MINT_MAX 1000U
-#define READ_STEP ((size_t)4096)
 /* Connections of each thread beyond its part of the limit: the one that loses
    its place for a new one is closed a moment later.  */
 #define CONNECTIONS_SPARE 16U
 #define BYTES_PER_KB 1024
-/* Bytes beyond the longest body that are read for the sake of the refusal: a
-   connection closed with unread data is reset, and the answer lost.  */
-#define DISCARD_MAX ((size_t)4 << 20)
 
 /* A connection of a caller, owned by its MHD thread.  */
 struct peer
@@ -41,11 +38,7 @@
   struct ent_entry *entry;
   struct MHD_Connection *connection;
   struct peer *peer;
-  char *body;
-  size_t len;
-  size_t cap;
-  size_t discarded; /* bytes beyond the longest body */
-  bool too_large;
+  struct bdy_body body;
   bool counted; /* in http_pending, until the response is sent */
   struct req_answer *reply;
 };
@@ -183,11 +176,11 @@
       x->connection, MHD_HEADER_KIND, "Idempotency-Key");
   enum MHD_Result result;
 
-  r->raw = xtalloc_memdup (r, x->body, x->len);
-  r->raw_len = x->len;
+  r->raw = xtalloc_memdup (r, x->body.data, x->body.len);
+  r->raw_len = x->body.len;
   /* The copy takes its place in the budget until the answer is sent.  */
-  free (x->body);
-  x->body = NULL;
+  free (x->body.data);
+  x->body.data = NULL;
   if (key != NULL)
     r->key = talloc_strdup (r, key);
   ctr_add (&x->entry->counters, ENT_REQUESTS, 1);
@@ -316,11 +309,12 @@
   shutdown (peer->fd, SHUT_RDWR);
 }
 
-/* Let the body of X take BYTES, at the cost of other callers if need be.
-   Return: whether it may.  */
+/* Let the body of an exchange take BYTES, at the cost of other callers if need
+   be.  Return: whether it may.  */
 static bool
-reserve (struct exchange *x, size_t bytes)
+reserve (size_t bytes, void *priv)
 {
+  const struct exchange *x = priv;
   struct ent_entry *e = x->entry;
   struct clt_client *victim;
   bool granted;
@@ -338,58 +332,16 @@
 }
 
 static void
-free_body (struct exchange *x)
+release (void *priv)
 {
+  const struct exchange *x = priv;
   struct ent_entry *e = x->entry;
 
-  free (x->body);
-  x->body = NULL;
-  x->len = 0;
-  x->cap = 0;
   pthread_mutex_lock (&e->clients_lock);
   clt_release (&e->clients, &x->peer->client);
   pthread_mutex_unlock (&e->clients_lock);
 }
 
-static bool
-grow_body (struct exchange *x, size_t len)
-{
-  size_t cap = x->cap > 0 ? x->cap : READ_STEP;
-  char *grown;
-
-  while (cap < len)
-    cap *= 2;
-  if (cap == x->cap)
-    return true;
-  if (!reserve (x, cap))
-    return false;
-  grown = realloc (x->body, cap);
-  if (grown == NULL)
-    return false;
-  x->body = grown;
-  x->cap = cap;
-  return true;
-}
-
-/* Return: whether the connection is to go on.  */
-static bool
-append_body (struct exchange *x, const char *data, size_t len)
-{
-  if (x->too_large || x->len + len > REQ_BODY_MAX)
-    {
-      if (!x->too_large)
-        free_body (x);
-      x->too_large = true;
-      x->discarded += len;
-      return x->discarded <= DISCARD_MAX;
-    }
-  if (!grow_body (x, x->len + len))
-    return false;
-  memcpy (x->body + x->len, data, len);
-  x->len += len;
-  return true;
-}
-
 static enum MHD_Result
 refuse_too_large (struct exchange *x)
 {
@@ -400,16 +352,6 @@
   return send_refusal (x, &why);
 }
 
-static bool
-announces_too_much (const struct exchange *x)
-{
-  const char *length = MHD_lookup_connection_value (
-      x->connection, MHD_HEADER_KIND, "Content-Length");
-
-  return length != NULL
-         && strtoull (length, NULL, 10) > REQ_BODY_MAX + DISCARD_MAX;
-}
-
 static struct exchange *
 new_exchange (struct ent_entry *e, struct MHD_Connection *connection)
 {
@@ -444,22 +386,27 @@
            size_t *data_size, void **request)
 {
   struct exchange *x = *request;
+  const char *length;
 
   (void)version;
   if (x == NULL)
     {
       x = *request = new_exchange (priv, connection);
-      if (x == NULL || announces_too_much (x))
-        return x != NULL ? refuse_too_large (x) : MHD_NO;
-      return MHD_YES;
+      if (x == NULL)
+        return MHD_NO;
+      length = MHD_lookup_connection_value (connection, MHD_HEADER_KIND,
+                                            "Content-Length");
+      return bdy_announces_too_much (length, REQ_BODY_MAX)
+                 ? refuse_too_large (x)
+                 : MHD_YES;
     }
   if (*data_size > 0)
     {
-      enum MHD_Result result
-          = append_body (x, data, *data_size) ? MHD_YES : MHD_NO;
+      const struct bdy_budget budget = { REQ_BODY_MAX, reserve, release, x };
+      int rc = bdy_append (&x->body, &budget, data, *data_size);
 
       *data_size = 0;
-      return result;
+      return rc == 0 ? MHD_YES : MHD_NO;
     }
   if (x->reply != NULL)
     {
@@ -467,7 +414,7 @@
       x->reply = NULL;
       return send_answer (connection, reply, "application/json");
     }
-  if (x->too_large)
+  if (x->body.too_long)
     return refuse_too_large (x);
   set_busy (x, true);
   return route_request (x, method, url);
@@ -487,7 +434,7 @@
   if (x->counted)
     atomic_fetch_sub (&x->entry->http_pending, 1);
   req_answer_put (x->reply);
-  free (x->body);
+  free (x->body.data);
   set_busy (x, false);
   free (x);
   *request = NULL;
--- a/src/web.c
+++ b/src/web.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <talloc.h>
 
+#include "body.h"
 #include "lagoonvale/uri.h"
 #include "logline.h"
 #include "net.h"
@@ -17,11 +18,6 @@
 /* Connections beyond the limit of the clients: the one that loses its place
    for a new one is closed a moment later.  */
 #define CONNECTIONS_SPARE 16U
-/* First allocation for a body, bytes; it is doubled as the body grows.  */
-#define BODY_STEP ((size_t)4096)
-/* Bytes beyond the longest body that are read for the sake of the refusal: a
-   connection closed with unread data is reset, and the answer lost.  */
-#define DISCARD_MAX ((size_t)4 << 20)
 /* Buffer of one connection in libmicrohttpd, bytes; it holds headers only.  */
 #define CONNECTION_BYTES ((size_t)8192)
 #define TICK_MS 500
@@ -53,11 +49,7 @@
   struct tevent_fd *watch;
   char *method;
   char *path;
-  char *body;
-  size_t len;
-  size_t allocated;
-  size_t discarded; /* bytes beyond the longest body */
-  bool too_long;
+  struct bdy_body body;
   bool dispatched; /* passed to the handler */
   bool suspended;
   bool finished; /* the response is ready or the caller disconnected */
@@ -166,8 +158,8 @@
   s->open_requests++;
   call.method = r->method;
   call.path = r->path;
-  call.body.data = r->body;
-  call.body.len = r->len;
+  call.body.data = r->body.data;
+  call.body.len = r->body.len;
   s->handler (r, &call, s->priv);
   if (r->finished)
     return MHD_YES;
@@ -234,31 +226,12 @@
   shutdown (peer->fd, SHUT_RDWR);
 }
 
-void
-web_release_body (struct web_request *r)
-{
-  TALLOC_FREE (r->body);
-  r->len = 0;
-  r->allocated = 0;
-  clt_release (r->server->limits.clients, &r->peer->client);
-}
-
-static void
-drop_sender (struct web_request *r, const char *why)
-{
-  struct clt_client *client = &r->peer->client;
-
-  if (!client->dropped)
-    close_client (client, why);
-  clt_drop (r->server->limits.clients, client);
-  web_release_body (r);
-}
-
-/* Let the body of R take BYTES, at the cost of other clients if need be.
-   Return: whether it may.  */
+/* Let the body of a request take BYTES, at the cost of other clients if need
+   be.  Return: whether it may.  */
 static bool
-reserve (struct web_request *r, size_t bytes)
+reserve (size_t bytes, void *priv)
 {
+  const struct web_request *r = priv;
   struct clt_client *victim;
   bool granted;
 
@@ -273,52 +246,53 @@
   return granted;
 }
 
-static bool
-grow_body (struct web_request *r, size_t len)
-{
-  size_t allocated = r->allocated > 0 ? r->allocated : BODY_STEP;
-  char *grown;
-
-  while (allocated < len)
-    allocated *= 2;
-  if (allocated == r->allocated)
-    return true;
-  if (!reserve (r, allocated))
-    return false;
-  grown = talloc_realloc_size (r, r->body, allocated);
-  if (grown == NULL)
-    return false;
-  r->body = grown;
-  r->allocated = allocated;
-  return true;
-}
-
-/* Drop data of a body that is too long; its sender too if it goes on.  */
 static void
-discard (struct web_request *r, size_t len)
+release (void *priv)
+{
+  const struct web_request *r = priv;
+
+  clt_release (r->server->limits.clients, &r->peer->client);
+}
+
+static struct bdy_budget
+budget_of (struct web_request *r)
+{
+  struct bdy_budget budget
+      = { r->server->limits.body_max, reserve, release, r };
+
+  return budget;
+}
+
+void
+web_release_body (struct web_request *r)
+{
+  const struct bdy_budget budget = budget_of (r);
+
+  bdy_free (&r->body, &budget);
+}
+
+static void
+drop_sender (struct web_request *r, const char *why)
 {
-  if (!r->too_long)
-    web_release_body (r);
-  r->too_long = true;
-  r->discarded += len;
-  if (r->discarded > DISCARD_MAX)
-    drop_sender (r, "body-too-long");
+  struct clt_client *client = &r->peer->client;
+
+  if (!client->dropped)
+    close_client (client, why);
+  clt_drop (r->server->limits.clients, client);
+  web_release_body (r);
 }
 
 static void
 append_body (struct web_request *r, const char *data, size_t len)
 {
+  const struct bdy_budget budget = budget_of (r);
+  int rc;
+
   if (r->peer->client.dropped)
     return;
-  if (r->too_long || r->len + len > r->server->limits.body_max)
-    discard (r, len);
-  else if (!grow_body (r, r->len + len))
-    drop_sender (r, "no-memory");
-  else
-    {
-      memcpy (r->body + r->len, data, len);
-      r->len += len;
-    }
+  rc = bdy_append (&r->body, &budget, data, len);
+  if (rc != 0)
+    drop_sender (r, rc == -EFBIG ? "body-too-long" : "no-memory");
 }
 
 static void
@@ -330,18 +304,6 @@
               lv_slice_of (too_long), 0);
 }
 
-/* Whether the caller announces a body that is too long to be read to its end.
- */
-static bool
-announces_too_much (const struct web_request *r)
-{
-  const char *length = web_header (r, "Content-Length");
-
-  return length != NULL
-         && strtoull (length, NULL, 10)
-                > r->server->limits.body_max + DISCARD_MAX;
-}
-
 static struct web_request *
 new_request (struct web_server *s, struct MHD_Connection *connection,
              const char *method, const char *url)
@@ -369,7 +331,8 @@
   if (r == NULL)
     {
       r = *request = new_request (priv, connection, method, url);
-      if (!announces_too_much (r))
+      if (!bdy_announces_too_much (web_header (r, "Content-Length"),
+                                   r->server->limits.body_max))
         return MHD_YES;
       refuse_too_long (r);
       return send_response (r);
@@ -382,7 +345,7 @@
       *data_size = 0;
       return MHD_YES;
     }
-  if (r->too_long && !r->finished)
+  if (r->body.too_long && !r->finished)
     refuse_too_long (r);
   if (!r->dispatched && !r->finished && dispatch (r) != MHD_YES)
     return MHD_NO;
@@ -406,6 +369,7 @@
     r->disconnected (r->disconnected_priv);
   if (r->response != NULL)
     MHD_destroy_response (r->response);
+  web_release_body (r);
   clt_request_ended (r->server->limits.clients, &r->peer->client);
   talloc_free (r);
   *request = NULL;
