--- a/tools/soak.py
+++ b/tools/soak.py
@@ -420,6 +420,15 @@
     return 1 if failed else 0
 
 
+def check_built():
+    """Exits if the programs of a run are missing: the seeds that draw them
+    would fail like those that find a fault."""
+    for directory in (cluster.BUILD, os.path.join(cluster.BUILD, "suspendable")):
+        if not os.path.exists(os.path.join(directory, "lagoonvale-runner")):
+            sys.exit("soak.py: no programs in %s: run make all suspendable"
+                     % directory)
+
+
 def main():
     p = argparse.ArgumentParser()
     p.add_argument("seeds", nargs="*", type=int)
@@ -430,6 +439,7 @@
     p.add_argument("--entries", type=int, default=3)
     p.add_argument("--agents", type=int, default=4)
     args = p.parse_args()
+    check_built()
     if len(args.seeds) == 1:
         return run_seed(args, args.seeds[0])
     return run_seeds(args, args.seeds or list(range(args.first,
