Amounts between -1 and 0 are an error for needs, too

Cause: the amount was checked after it had been rounded up, to -0.

Evidence: Jsonx.AmountsMeanTheSameHoweverTheyAreWritten failed for -0.5 and -1e-9 before; found by reading the diff.

--- a/src/jsonx.c
+++ b/src/jsonx.c
@@ -235,11 +235,10 @@
       && !json_object_is_type (member, json_type_double))
     return -EINVAL;
   number = json_object_get_double (member);
-  if (rounding == JSX_WHOLE && number != floor (number))
+  /* Before it is rounded: upwards, -0.5 would be 0.  */
+  if (!(number >= 0) || (rounding == JSX_WHOLE && number != floor (number)))
     return -EINVAL;
   number = rounding == JSX_UP ? ceil (number) : floor (number);
-  if (!(number >= 0))
-    return -EINVAL;
   *value = number > UINT32_MAX ? UINT32_MAX : (uint32_t)number;
   return number > UINT32_MAX ? -ERANGE : 0;
 }
--- a/tests/unit/jsonx_test.cc
+++ b/tests/unit/jsonx_test.cc
@@ -159,6 +159,8 @@
     { "99999999999999999999", -ERANGE, -ERANGE, UINT32_MAX, UINT32_MAX },
     { "-1", -EINVAL, -EINVAL, 0, 0 },
     { "-6200.0", -EINVAL, -EINVAL, 0, 0 },
+    { "-0.5", -EINVAL, -EINVAL, 0, 0 },
+    { "-1e-9", -EINVAL, -EINVAL, 0, 0 },
     { "\"6200\"", -EINVAL, -EINVAL, 0, 0 },
     { "true", -EINVAL, -EINVAL, 0, 0 },
     { "null", -EINVAL, -EINVAL, 0, 0 },
