JSON: one way each to read a number, a whole number or 0, and a fraction

Change: jsx_is_number, jsx_number; jsx_to_uint is 0 for what is no whole number; the command uses jsx_uint.

--- a/cli/cli_where.c
+++ b/cli/cli_where.c
@@ -9,26 +9,6 @@
 
 #define TIMEOUT_MS 5000L
 
-static int64_t
-number (struct json_object *json, const char *name)
-{
-  struct json_object *value;
-
-  return json_object_object_get_ex (json, name, &value)
-             ? json_object_get_int64 (value)
-             : 0;
-}
-
-static double
-fraction (struct json_object *json, const char *name)
-{
-  struct json_object *value;
-
-  return json_object_object_get_ex (json, name, &value)
-             ? json_object_get_double (value)
-             : 0;
-}
-
 static void
 print_candidates (struct json_object *list)
 {
@@ -40,11 +20,12 @@
     {
       struct json_object *c = json_object_array_get_idx (list, i);
 
-      printf ("%-28s %-16s %8lld %8lld %6.2f %6.2f  %s\n",
+      printf ("%-28s %-16s %8llu %8llu %6.2f %6.2f  %s\n",
               jsx_string (c, "agent", "?"), jsx_string (c, "domain", "?"),
-              (long long)number (c, "free_mcores"),
-              (long long)number (c, "total_mcores"), fraction (c, "slowness"),
-              fraction (c, "cost"), jsx_string (c, "obstacle", "?"));
+              (unsigned long long)jsx_uint (c, "free_mcores", 0),
+              (unsigned long long)jsx_uint (c, "total_mcores", 0),
+              jsx_number (c, "slowness", 0), jsx_number (c, "cost", 0),
+              jsx_string (c, "obstacle", "?"));
     }
 }
 
@@ -56,12 +37,13 @@
 
   printf ("%s: %s\n", jsx_string (json, "decision", "?"),
           jsx_string (json, "why", "?"));
-  printf ("%lld of %lld tasks fit now; work before it %lld core-ms, "
-          "about %lld ms\n",
-          (long long)number (json, "tasks_that_fit"),
-          (long long)number (json, "tasks"),
-          (long long)number (json, "work_before_mcore_ms") / 1000,
-          (long long)number (json, "expected_wait_ms"));
+  printf ("%llu of %llu tasks fit now; work before it %llu core-ms, "
+          "about %llu ms\n",
+          (unsigned long long)jsx_uint (json, "tasks_that_fit", 0),
+          (unsigned long long)jsx_uint (json, "tasks", 0),
+          (unsigned long long)jsx_uint (json, "work_before_mcore_ms", 0)
+              / 1000,
+          (unsigned long long)jsx_uint (json, "expected_wait_ms", 0));
   if (json_object_object_get_ex (json, "agents", &list))
     for (i = 0; i < json_object_array_length (list); i++)
       printf ("task %zu: %s\n", i,
--- a/src/jsonx.c
+++ b/src/jsonx.c
@@ -212,14 +212,40 @@
          && json_object_get_uint64 (value) <= INT64_MAX;
 }
 
-uint64_t
-jsx_to_uint (struct json_object *value)
+/* VALUE, which is a whole number.  */
+static uint64_t
+to_uint (struct json_object *value)
 {
   if (json_object_is_type (value, json_type_double))
     return (uint64_t)json_object_get_double (value);
   return (uint64_t)json_object_get_int64 (value);
 }
 
+uint64_t
+jsx_to_uint (struct json_object *value)
+{
+  return jsx_is_uint (value) ? to_uint (value) : 0;
+}
+
+bool
+jsx_is_number (struct json_object *value)
+{
+  return json_object_is_type (value, json_type_int)
+         || json_object_is_type (value, json_type_double);
+}
+
+double
+jsx_number (struct json_object *object, const char *name, double fallback)
+{
+  struct json_object *value;
+
+  if (!json_object_is_type (object, json_type_object)
+      || !json_object_object_get_ex (object, name, &value)
+      || !jsx_is_number (value))
+    return fallback;
+  return json_object_get_double (value);
+}
+
 int
 jsx_get_amount (struct json_object *object, const char *name,
                 enum jsx_rounding rounding, uint32_t *value)
@@ -231,8 +257,7 @@
   if (!json_object_is_type (object, json_type_object)
       || !json_object_object_get_ex (object, name, &member))
     return -ENOENT;
-  if (!json_object_is_type (member, json_type_int)
-      && !json_object_is_type (member, json_type_double))
+  if (!jsx_is_number (member))
     return -EINVAL;
   number = json_object_get_double (member);
   /* Before it is rounded: upwards, -0.5 would be 0.  */
@@ -254,7 +279,7 @@
           && (!json_object_is_type (value, json_type_int)
               || json_object_get_int64 (value) < 0)))
     return fallback;
-  return jsx_to_uint (value);
+  return to_uint (value);
 }
 
 uint32_t
--- a/src/jsonx.h
+++ b/src/jsonx.h
@@ -86,9 +86,16 @@
  * json-c cuts what is beyond to the nearest number that it can hold. */
 bool jsx_is_uint (struct json_object *value);
 
-/** jsx_to_uint() - the number @value, for which jsx_is_uint() holds. */
+/** jsx_to_uint() - the number @value, 0 if jsx_is_uint() does not hold. */
 uint64_t jsx_to_uint (struct json_object *value);
 
+/** jsx_is_number() - whether @value is a number of any kind. */
+bool jsx_is_number (struct json_object *value);
+
+/** jsx_number() - member @name if it is a number, else @fallback. */
+double jsx_number (struct json_object *object, const char *name,
+                   double fallback);
+
 /** enum jsx_rounding - what becomes of the fraction of an amount */
 enum jsx_rounding
 {
