Clients: the budget's own loop drops as many as it takes

Cause: clt_reserve() named one client to drop and had to be called again until there was none; both HTTP servers and the test had the same loop around it.

Ruled out: a list of victims as the result: it would need memory when memory is short.

Change: clt_reserve() takes the function that closes a client. No change of behaviour; the tests' assertions are as they were.

--- a/include/lagoonvale/clients.h
+++ b/include/lagoonvale/clients.h
@@ -75,16 +75,18 @@
 /** clt_leave() - remove a client whose connection is closed. */
 void clt_leave (struct clt_clients *c, struct clt_client *client);
 
+/** clt_close_fn - close the connection of @victim, which has lost its place;
+ * it leaves later. */
+typedef void (*clt_close_fn) (struct clt_client *victim);
+
 /**
  * clt_reserve() - let the body of @client take @bytes in all
- * @victim: set to a client that must be dropped first, NULL if none need be
+ * @close_client: called for each client that loses its place for it
  *
- * Return: whether @client may take them, which it can once @victim, if any, is
- * closed; further ones may have to be dropped: call again until @victim is
- * NULL.  False if @client is to be refused.
+ * Return: whether @client may take them.  False if it is to be refused.
  */
 bool clt_reserve (struct clt_clients *c, struct clt_client *client,
-                  size_t bytes, struct clt_client **victim);
+                  size_t bytes, clt_close_fn close_client);
 
 /** clt_release() - the body of @client has been freed. */
 void clt_release (struct clt_clients *c, struct clt_client *client);
--- a/src/clients.c
+++ b/src/clients.c
@@ -67,26 +67,22 @@
 
 bool
 clt_reserve (struct clt_clients *c, struct clt_client *client, size_t bytes,
-             struct clt_client **victim)
+             clt_close_fn close_client)
 {
-  size_t others = c->held - client->held;
   size_t wanted = counted (bytes);
 
-  *victim = NULL;
-  if (client->dropped)
+  if (client->dropped || wanted > c->bytes_max)
     return false;
-  if (wanted > c->bytes_max || others > c->bytes_max - wanted)
+  while (c->held - client->held > c->bytes_max - wanted)
     {
-      *victim = wanted <= c->bytes_max ? find_victim (c, true) : NULL;
-      if (*victim == NULL || *victim == client)
-        {
-          *victim = NULL;
-          return false;
-        }
-      clt_drop (c, *victim);
-      return true;
+      struct clt_client *victim = find_victim (c, true);
+
+      if (victim == NULL || victim == client)
+        return false;
+      clt_drop (c, victim);
+      close_client (victim);
     }
-  c->held = others + wanted;
+  c->held += wanted - client->held;
   client->held = wanted;
   return true;
 }
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -302,7 +302,7 @@
 /* Close the connection of a caller that has lost its place; the lock is held,
    so that its thread cannot close it meanwhile.  */
 static void
-close_client (const struct clt_client *client)
+close_client (struct clt_client *client)
 {
   const struct peer *peer = client->priv;
 
@@ -316,17 +316,10 @@
 {
   const struct exchange *x = priv;
   struct ent_entry *e = x->entry;
-  struct clt_client *victim;
   bool granted;
 
   pthread_mutex_lock (&e->clients_lock);
-  do
-    {
-      granted = clt_reserve (&e->clients, &x->peer->client, bytes, &victim);
-      if (victim != NULL)
-        close_client (victim);
-    }
-  while (victim != NULL);
+  granted = clt_reserve (&e->clients, &x->peer->client, bytes, close_client);
   pthread_mutex_unlock (&e->clients_lock);
   return granted;
 }
--- a/src/web.c
+++ b/src/web.c
@@ -226,24 +226,21 @@
   shutdown (peer->fd, SHUT_RDWR);
 }
 
+static void
+close_for_memory (struct clt_client *victim)
+{
+  close_client (victim, "memory");
+}
+
 /* Let the body of a request take BYTES, at the cost of other clients if need
    be.  Return: whether it may.  */
 static bool
 reserve (size_t bytes, void *priv)
 {
   const struct web_request *r = priv;
-  struct clt_client *victim;
-  bool granted;
 
-  do
-    {
-      granted = clt_reserve (r->server->limits.clients, &r->peer->client,
-                             bytes, &victim);
-      if (victim != NULL)
-        close_client (victim, "memory");
-    }
-  while (victim != NULL);
-  return granted;
+  return clt_reserve (r->server->limits.clients, &r->peer->client, bytes,
+                      close_for_memory);
 }
 
 static void
--- a/tests/unit/clients_test.cc
+++ b/tests/unit/clients_test.cc
@@ -27,16 +27,16 @@
   bool
   reserve (unsigned i, size_t bytes, std::vector<unsigned> *dropped = nullptr)
   {
-    struct clt_client *victim;
+    static std::vector<struct clt_client *> victims;
     bool granted;
 
-    do
-      {
-        granted = clt_reserve (&clients, &client[i], bytes, &victim);
-        if (victim != nullptr && dropped != nullptr)
-          dropped->push_back (victim - &client[0]);
-      }
-    while (victim != nullptr);
+    victims.clear ();
+    granted = clt_reserve (&clients, &client[i], bytes,
+                           [] (struct clt_client *victim)
+                             { victims.push_back (victim); });
+    for (struct clt_client *victim : victims)
+      if (dropped != nullptr)
+        dropped->push_back (victim - &client[0]);
     return granted;
   }
   void
