Percent-encoding is in one place

Cause: pfm_store.c encoded keys for a query by hand, beside uri.c which encodes paths.

Ruled out: curl_easy_escape: the store does not see libcurl, http_client does.

Change: uri_encode(), which shares encode() with uri_path().

--- a/include/lagoonvale/uri.h
+++ b/include/lagoonvale/uri.h
@@ -21,6 +21,10 @@
  * string. */
 char *uri_path (void *mem_ctx, struct lv_slice path);
 
+/** uri_encode() - @text as a segment of a path or in a query, with all bytes
+ * encoded but letters, digits and "-._~"; a talloc string. */
+char *uri_encode (void *mem_ctx, struct lv_slice text);
+
 /** uri_decode() - bytes that the percent-encoded @segment of a path stands
  * for; the data is a talloc chunk and may contain any byte, also 0. */
 struct lv_slice uri_decode (void *mem_ctx, struct lv_slice segment);
--- a/src/uri.c
+++ b/src/uri.c
@@ -68,10 +68,21 @@
   return c == '%' || c == ' ' || (unsigned char)c >= 0x80;
 }
 
+/* Encode BYTE at OUT.  Return: bytes written.  */
+static size_t
+encode (char *out, int byte)
+{
+  static const char digits[] = "0123456789ABCDEF";
+
+  out[0] = '%';
+  out[1] = digits[byte >> 4];
+  out[2] = digits[byte & 0xf];
+  return ENCODED_BYTES;
+}
+
 char *
 uri_path (void *mem_ctx, struct lv_slice path)
 {
-  static const char digits[] = "0123456789ABCDEF";
   char *out = xtalloc_size (mem_ctx, ENCODED_BYTES * path.len + 1);
   size_t n = 0;
   size_t i = 0;
@@ -86,17 +97,33 @@
       if (plain)
         out[n++] = (char)byte;
       else
-        {
-          out[n++] = '%';
-          out[n++] = digits[byte >> 4];
-          out[n++] = digits[byte & 0xf];
-        }
+        n += encode (out + n, byte);
       i += encoded < 0 ? 1 : ENCODED_BYTES;
     }
   out[n] = '\0';
   return out;
 }
 
+char *
+uri_encode (void *mem_ctx, struct lv_slice text)
+{
+  char *out = xtalloc_size (mem_ctx, ENCODED_BYTES * text.len + 1);
+  size_t n = 0;
+  size_t i;
+
+  for (i = 0; i < text.len; i++)
+    {
+      int byte = (unsigned char)text.data[i];
+
+      if (is_unreserved (byte))
+        out[n++] = text.data[i];
+      else
+        n += encode (out + n, byte);
+    }
+  out[n] = '\0';
+  return out;
+}
+
 struct lv_slice
 uri_decode (void *mem_ctx, struct lv_slice segment)
 {
--- a/tests/unit/uri_test.cc
+++ b/tests/unit/uri_test.cc
@@ -97,6 +97,33 @@
     }
 }
 
+/* A key that reaches the store as another one would skip or repeat records.  */
+TEST (Uri, EncodedTextsAreDecodedToThemselves)
+{
+  const struct
+  {
+    std::string text, encoded;
+  } cases[] = {
+    { "", "" },
+    { "a-Z_0.9~", "a-Z_0.9~" },
+    { "evacuate/zone 1", "evacuate%2Fzone%201" },
+    { "a&b=c%20", "a%26b%3Dc%2520" },
+    { "\xc3\xa9\xff\n", "%C3%A9%FF%0A" },
+    { std::string ("\0x", 2), "%00x" },
+  };
+
+  for (const auto &c : cases)
+    {
+      char *encoded
+          = uri_encode (nullptr, { c.text.data (), c.text.size () });
+      struct lv_slice out = uri_decode (encoded, lv_slice_of (encoded));
+
+      EXPECT_EQ (std::string (encoded), c.encoded);
+      EXPECT_EQ (std::string (out.data, out.len), c.text);
+      talloc_free (encoded);
+    }
+}
+
 /* Queues and requests are brought to the same form, whichever of them has
    another spelling; long hosts and paths are found.  */
 TEST (Uri, QueuesAreFoundByEachSpelling)
