Drained domains: whether a need fits nowhere else is one pass over the agents

Cause: for each waiting job and tick, while a domain was drained, a pass over the agents asked for a drained one that fits, and a second one built all candidates, with their costs and times, to ask for one that is not drained.

Ruled out: keeping the answer by service: needs differ by job.

Change: flt_fits_only_drained() answers both in one pass without candidates; `where` uses the same.

--- a/src/dispatch_jobs.c
+++ b/src/dispatch_jobs.c
@@ -250,17 +250,12 @@
    until an operator ends the drain.  Not known shortly after the start, when
    others may not have joined yet.  */
 static bool
-fits_only_drained (struct dsp_dispatch *d, struct lv_slice service,
+fits_only_drained (const struct dsp_dispatch *d, struct lv_slice service,
                    const struct amt_amount *need)
 {
-  unsigned n;
-
-  if (d->drains.count == 0
-      || clk_since (clk_boot (), d->started_ns) < DSP_JOIN_GRACE_NS
-      || !flt_fits_drained (&d->fleet, service, need))
-    return false;
-  n = dsp_list_candidates (d, service, false);
-  return !cnd_any_could_fit (d->candidates, n, need);
+  return d->drains.count > 0
+         && clk_since (clk_boot (), d->started_ns) >= DSP_JOIN_GRACE_NS
+         && flt_fits_only_drained (&d->fleet, service, need);
 }
 
 void
--- a/src/dispatch_where.c
+++ b/src/dispatch_where.c
@@ -173,7 +173,7 @@
       *why = "no free room; it waits in the queue";
       return "queued";
     }
-  else if (flt_fits_drained (&d->fleet, service, &q->need))
+  else if (flt_fits_only_drained (&d->fleet, service, &q->need))
     *why = "only agents of drained failure domains could hold it";
   else
     *why = "no agent could hold it";
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -302,16 +302,22 @@
 }
 
 bool
-flt_fits_drained (const struct flt_fleet *f, struct lv_slice service,
-                  const struct amt_amount *need)
+flt_fits_only_drained (const struct flt_fleet *f, struct lv_slice service,
+                       const struct amt_amount *need)
 {
   const struct flt_agent *a;
+  bool fits = false;
 
   DL_FOREACH (f->agents, a)
-  if (lv_slice_eq (lv_slice_of (a->service), service) && flt_is_drained (a)
-      && amt_fits (&a->total, need))
-    return true;
-  return false;
+  {
+    if (!lv_slice_eq (lv_slice_of (a->service), service)
+        || !amt_fits (&a->total, need))
+      continue;
+    if (!flt_is_drained (a))
+      return false;
+    fits = true;
+  }
+  return fits;
 }
 
 bool
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -184,10 +184,10 @@
 bool flt_never_fits (const struct flt_fleet *f, struct lv_slice service,
                      const struct amt_amount *need);
 
-/** flt_fits_drained() - whether @need is within the resources of an agent of
- * @service whose failure domain is drained. */
-bool flt_fits_drained (const struct flt_fleet *f, struct lv_slice service,
-                       const struct amt_amount *need);
+/** flt_fits_only_drained() - whether @need is within the resources of agents
+ * of @service, and the failure domains of all these are drained. */
+bool flt_fits_only_drained (const struct flt_fleet *f, struct lv_slice service,
+                            const struct amt_amount *need);
 
 /** flt_candidate() - @agent as a candidate for tasks of @service. */
 struct cnd_candidate flt_candidate (const struct flt_agent *agent,
