Dispatcher: what is answered at once is decided in one function

Cause: dsp_submit() had grown to five early answers, each with its block and return, before it came to what it is for.

Ruled out: a table of checks: the answers differ in kind.

Change: answer_at_once(), a chain in the same order. No change of behaviour.

Seen: the tests of leaving entries and of cancels pass, 221 unit tests.

--- a/src/dispatch_jobs.c
+++ b/src/dispatch_jobs.c
@@ -435,6 +435,33 @@
     }
 }
 
+/* Answer a JOB that is new here at once if it was cancelled before, or cannot
+   be served.  Return: whether it is answered.  */
+static bool
+answer_at_once (struct dsp_dispatch *d, const struct dsp_job *job)
+{
+  uint64_t target_ns = CLK_MS * job->queue->target_ms;
+  struct dsp_answer cancelled = { DSP_CANCELLED, "cancelled", 0 };
+
+  if (cnl_contains (&d->cancels, job->id))
+    {
+      log_line (LOGL_INFO, "job-cancelled", "job=%.*s from=earlier",
+                (int)job->id.len, job->id.data);
+      count_answer (d, &cancelled);
+      job->answer (&cancelled, job->priv);
+    }
+  else if (!ends_before_shutdown (d, job->estimate_ms, target_ns, clk_boot ()))
+    refuse (d, job, "leaving", RETRY_ELSEWHERE_MS);
+  else if (d->set.open_tasks_max > 0
+           && d->jobs.tasks + job->count > d->set.open_tasks_max)
+    refuse (d, job, "too-many-tasks", overload_retry_ms (d, 0));
+  else if (!any_agent_could_fit (d, job))
+    refuse_unfitting (d, job);
+  else
+    return false;
+  return true;
+}
+
 void
 dsp_submit (struct dsp_dispatch *d, const struct dsp_job *job)
 {
@@ -448,33 +475,8 @@
       replace_caller (d, accepted, job, params.timeout_ns);
       return;
     }
-  if (cnl_contains (&d->cancels, job->id))
-    {
-      struct dsp_answer answer = { DSP_CANCELLED, "cancelled", 0 };
-
-      log_line (LOGL_INFO, "job-cancelled", "job=%.*s from=earlier",
-                (int)job->id.len, job->id.data);
-      count_answer (d, &answer);
-      job->answer (&answer, job->priv);
-      return;
-    }
-  if (!ends_before_shutdown (d, job->estimate_ms,
-                             CLK_MS * job->queue->target_ms, clk_boot ()))
-    {
-      refuse (d, job, "leaving", RETRY_ELSEWHERE_MS);
-      return;
-    }
-  if (d->set.open_tasks_max > 0
-      && d->jobs.tasks + job->count > d->set.open_tasks_max)
-    {
-      refuse (d, job, "too-many-tasks", overload_retry_ms (d, 0));
-      return;
-    }
-  if (!any_agent_could_fit (d, job))
-    {
-      refuse_unfitting (d, job);
-      return;
-    }
+  if (answer_at_once (d, job))
+    return;
   accepted = jtb_add (&d->jobs, &params, clk_boot ());
   if (accepted == NULL)
     {
