Runner: no lease is asked for, or reckoned with, by a former process's clock

Cause: rnr_make_lease() went by the clock of the last answer, whichever process had given it. The first poll after a closed port asked for a time far ahead of the new clock; the minion granted its maximum of 1,000 ms, the runner reckoned with 500.

The class is each reckoning with the clock of a former process.

Change: a clock belongs to one process and is taken from listings only; without it no lease is asked for. From the first listing of a process on the longest lease is reckoned with. The process gets starts once it has answered a poll with a token above that of all requests to the one before it, and orders that were decided earlier are refused as stale.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 PFM_DECODERS = config job listing page
 UNIT_PFM_OBJ = $(PFM_DECODERS:%=$(B)/platform/pfm_%.o)
 UNIT_SRC = $(wildcard tests/unit/*.cc)
-UNIT_OBJ = $(UNIT_SRC:%.cc=$(B)/%.o)
+UNIT_OBJ = $(UNIT_SRC:%.cc=$(B)/%.o) $(B)/tests/unit/runner_harness.o
 
 .PHONY: all suspendable deployed deps check-deps demo demo-up demo-down check unit lint \
   format format-check sanitize sanitize-threads fuzz mutants bench install clean \
@@ -129,7 +129,8 @@
 
 SOURCES = $(filter-out src/lvproto.h src/lvproto_xdr.c, \
   $(wildcard src/*.[ch] platform/*.[ch] include/lagoonvale/*.h daemons/*.[ch] cli/*.[ch] \
-  tools/*.[ch] examples/*.c tests/model/*.c tests/process/*.c))
+  tools/*.[ch] examples/*.c tests/model/*.c tests/process/*.c \
+  tests/unit/*.[ch]))
 TIDY_SOURCES = $(filter %.c,$(SOURCES))
 
 format:
--- a/include/lagoonvale/leasebounds.h
+++ b/include/lagoonvale/leasebounds.h
@@ -54,6 +54,15 @@
 /** lbd_is_fresh() - whether @at_ns is less than LBD_CONFIRM_TIMEOUT_NS ago. */
 bool lbd_is_fresh (uint64_t at_ns, uint64_t now_ns);
 
+/**
+ * lbd_order_is_fresh() - whether an order may be carried out
+ * @stamp_ns: when the report was sent by which it was decided
+ * @process_ns: since when the minion's process takes starts: an entry that had
+ * no report since then does not wait for the lease which that one may hold
+ */
+bool lbd_order_is_fresh (uint64_t stamp_ns, uint64_t process_ns,
+                         uint64_t now_ns);
+
 /**
  * lbd_runs_ended_by() - time by which an entry's runs at a lost agent have
  * ended
@@ -61,6 +70,12 @@
  */
 uint64_t lbd_runs_ended_by (uint64_t heard_ns);
 
+/**
+ * lbd_covers_lease() - whether entries that lose contact with an agent now
+ * wait for the end of a lease there that lasts until @expires_ns, at most
+ */
+bool lbd_covers_lease (uint64_t expires_ns, uint64_t now_ns);
+
 /**
  * lbd_lease_expiry() - time by which a lease has expired at the minion
  * @sent_ns: when the last renewal was sent
--- a/src/leasebounds.c
+++ b/src/leasebounds.c
@@ -6,6 +6,12 @@
   return now_ns < at_ns + LBD_CONFIRM_TIMEOUT_NS;
 }
 
+bool
+lbd_order_is_fresh (uint64_t stamp_ns, uint64_t process_ns, uint64_t now_ns)
+{
+  return stamp_ns >= process_ns && lbd_is_fresh (stamp_ns, now_ns);
+}
+
 bool
 lbd_report_due (uint64_t reported_ns, bool busy, uint64_t now_ns)
 {
@@ -33,3 +39,9 @@
 
   return lbd_lease_expiry (stop_ns, LBD_LEASE_NS);
 }
+
+bool
+lbd_covers_lease (uint64_t expires_ns, uint64_t now_ns)
+{
+  return expires_ns <= lbd_runs_ended_by (now_ns);
+}
--- a/src/runner.h
+++ b/src/runner.h
@@ -120,7 +120,10 @@
   bool health_changed;   /* since entries were told */
   uint64_t ends_through; /* highest number of the ends received */
   uint64_t poll_sent_ns;
+  uint64_t poll_token; /* fencing token of the last poll */
   uint64_t poll_answered_ns;
+  uint64_t fenced_ns; /* clk_boot() from which on this process executes no
+                         request that was meant for a former one, 0: it may */
   bool poll_pending;
   bool silent;     /* the last poll was not answered */
   bool absent;     /* the last poll was refused: nothing listens there */
--- a/src/runner_entries.c
+++ b/src/runner_entries.c
@@ -25,13 +25,24 @@
    already in flight may still arrive, ns.  */
 #define RETIRE_GRACE_NS CLK_S
 
+/* Whether ORDER goes by a report that is new enough, and about the process of
+   the minion that runs now.  */
+static bool
+is_fresh (const struct rnr_session *s, const lvp_order *order, uint64_t now_ns)
+{
+  uint64_t fenced_ms = s->runner->minion.fenced_ns / CLK_MS;
+
+  return lbd_order_is_fresh (order->stamp_ms * CLK_MS, fenced_ms * CLK_MS,
+                             now_ns)
+         && lbd_is_fresh (s->confirmed_ns, now_ns);
+}
+
 static void
 apply_order (struct rnr_session *s, const lvp_order *order)
 {
   struct rnr_runner *r = s->runner;
   uint64_t now = clk_boot ();
-  bool fresh = lbd_is_fresh (order->stamp_ms * CLK_MS, now)
-               && lbd_is_fresh (s->confirmed_ns, now);
+  bool fresh = is_fresh (s, order, now);
   bool able = rnr_able (r, now);
   enum drn_cause cause = rnr_drain_cause (r, NULL);
   bool open = able && cause == DRN_NONE;
--- a/src/runner_minion.c
+++ b/src/runner_minion.c
@@ -25,12 +25,9 @@
 rnr_report_age_ms (const struct rnr_runner *r)
 {
   const struct rnr_minion *m = &r->minion;
-  struct mck_stamp stamp = m->reported;
 
-  /* The clock is that of the process that answers polls.  */
-  if (m->report_incarnation != m->incarnation)
-    stamp.written_ms = 0;
-  return mck_age_ms (&m->clock, &stamp, clk_boot ());
+  return mck_age_ms (&m->clock, m->report_incarnation, &m->reported,
+                     clk_boot ());
 }
 
 bool
@@ -48,15 +45,17 @@
 }
 
 /* Whether a start has a lease to run under: one that can be renewed, or most
-   of the last one.  */
+   of the last one.  Entries must not count on its end while it lasts.  */
 static bool
 has_lease (const struct rnr_runner *r)
 {
   const struct rnr_minion *m = &r->minion;
-  uint64_t now_ms = mck_now_ms (&m->clock, clk_now ());
+  uint64_t now = clk_now ();
+  uint64_t now_ms = mck_now_ms (&m->clock, m->incarnation, now);
 
-  return may_renew (r)
-         || m->lease_expires_ms >= now_ms + LEASE_LEFT_NS / CLK_MS;
+  return lbd_covers_lease (m->renewal.expires_ns, now)
+         && (may_renew (r)
+             || m->lease_expires_ms >= now_ms + LEASE_LEFT_NS / CLK_MS);
 }
 
 void
@@ -91,7 +90,7 @@
 {
   const struct rnr_minion *m = &r->minion;
 
-  return m->runs_known && m->incarnation != 0
+  return m->runs_known && m->incarnation != 0 && m->fenced_ns != 0
          && m->report_incarnation == m->incarnation && !rnr_report_outdated (r)
          && clk_since (now_ns, m->poll_answered_ns) < RNR_MINION_TIMEOUT_NS
          && has_lease (r);
@@ -104,14 +103,15 @@
   struct mnn_lease lease = { .process = m->id, .token = r->token.value };
   uint64_t lease_ns = LBD_LEASE_NS;
   uint64_t now = clk_now ();
+  uint64_t now_ms = mck_now_ms (&m->clock, m->incarnation, now);
 
   if (lease_ns > r->settings.lease_max_ms * CLK_MS)
     lease_ns = r->settings.lease_max_ms * CLK_MS;
-  if (!renew || m->clock.value_ms == 0)
+  if (!renew || now_ms == 0)
     return lease;
   if (may_renew (r))
     {
-      m->lease_expires_ms = mck_now_ms (&m->clock, now) + lease_ns / CLK_MS;
+      m->lease_expires_ms = now_ms + lease_ns / CLK_MS;
       rnw_requested (&m->renewal, now, lease_ns);
     }
   lease.expires_ms = m->lease_expires_ms;
@@ -137,8 +137,6 @@
   hst_observe (&r->times, RNR_TIME_MINION, lv_slice_of (call),
                lv_slice_of (answer_name (result->answer)),
                clk_since (clk_boot (), sent_ns));
-  if (result->clock_ms != 0)
-    mck_observe (&r->minion.clock, result->clock_ms, sent_ns, clk_now ());
   if (result->answer == MNN_UNANSWERED)
     ctr_add (&r->counters, RNR_UNANSWERED, 1);
   else if (result->answer != MNN_ABSENT)
@@ -194,12 +192,31 @@
   mnh_init (&m->health);
   m->health_changed = true;
   m->incarnation = listing->incarnation;
+  m->fenced_ns = 0;
   m->lease_expires_ms = 0;
   m->ends_through = 0;
   if (m->report_incarnation != listing->incarnation)
     m->leaving = false;
 }
 
+/* A process that has answered a poll for the first time may have executed a
+   request that was meant for a former one, and hold the longest lease by the
+   clock of that one.  It executes no more of these once it has seen a token
+   that none of them had.  */
+static void
+note_fence (struct rnr_runner *r)
+{
+  struct rnr_minion *m = &r->minion;
+
+  if (m->fenced_ns != 0)
+    return;
+  rnw_requested (&m->renewal, clk_now (), r->settings.lease_max_ms * CLK_MS);
+  if (m->poll_token != r->token.value)
+    return;
+  m->fenced_ns = clk_boot ();
+  m->health_changed = true;
+}
+
 static void
 apply_listing (struct rnr_runner *r, const struct mnn_listing *listing)
 {
@@ -208,6 +225,10 @@
 
   if (listing->incarnation != m->incarnation)
     handle_minion_restart (r, listing);
+  /* Only a listing says which process it is from.  */
+  mck_observe (&m->clock, listing->incarnation, listing->result.clock_ms,
+               m->poll_sent_ns, clk_now ());
+  note_fence (r);
   rtk_apply_ends (&r->tracker, listing->ends, listing->end_count);
   rtk_apply_running (&r->tracker, listing->running, listing->running_count,
                      m->poll_sent_ns, now);
@@ -311,11 +332,12 @@
 }
 
 /* A minion that has not answered the last poll is asked for an answer at once,
-   so that a lost one costs little time.  */
+   so that a lost one costs little time, and so is one that gets no starts
+   before.  */
 static unsigned
 poll_wait_ms (const struct rnr_runner *r)
 {
-  if (r->minion.silent)
+  if (r->minion.silent || r->minion.fenced_ns == 0)
     return 0;
   return r->tracker.runs != NULL ? POLL_WAIT_MS : IDLE_POLL_WAIT_MS;
 }
@@ -332,6 +354,7 @@
     return;
   m->poll_pending = true;
   m->poll_sent_ns = now;
+  m->poll_token = r->token.value;
   lease = rnr_make_lease (r, rnw_may_request (&m->renewal));
   r->ops->poll (r->ops_priv, &lease, r->minion.ends_through, poll_wait_ms (r),
                 poll_answered, r);
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -20,6 +20,9 @@
 CONFIG_APPLY_S = 2.0
 RECOVERY_S = 12.0
 LEASE_S = 1.0
+# What an agent asks for, and the unit of a minion's clock.
+RENEWED_S = 0.5
+CLOCK_S = 0.001
 # An answer to a job of 60 ms is of little use to its caller after this time:
 # three times its target of 156 ms.
 LATE_S = 0.47
@@ -963,6 +966,28 @@
             c.minions[0].start()
         self.under_load(fault)
 
+    # Guards against a lease that is asked for by the clock of the minion's
+    # former process: it lasts for longer than the time after which the tasks
+    # there are started elsewhere (review/13).
+    def test_a_minion_that_is_back_gets_no_longer_lease(self):
+        for keep_id in (0, 1):
+            with self.subTest(keep_id=keep_id):
+                c = self.ready(agents=1)
+                born = c.born(0)
+                # The former clock has to be ahead of the later one.
+                time.sleep(2)
+                c.set_mode(c.minions[0], keep_id=keep_id, refuse=1, crash=1)
+                crashed = time.monotonic()
+                self.assertTrue(wait_until(
+                    lambda: "born" in c.hold(0) and c.born(0) != born))
+                self.assertTrue(wait_until(
+                    lambda: c.submit(0, job(run_ms=5))[0] == 200))
+                leases = [e for e in c.records()
+                          if e["what"] == "lease" and e["at"] > crashed]
+                self.assertTrue(leases)
+                self.assertLess(max(e["until"] - e["at"] for e in leases),
+                                RENEWED_S + CLOCK_S)
+
     def test_minion_paused(self):
         self.under_load(lambda c: c.pause_minion(0, 2))
 
--- a/tests/unit/dispatch_test.cc
+++ b/tests/unit/dispatch_test.cc
@@ -77,6 +77,50 @@
         << c.age_ns << c.busy;
 }
 
+// Guards against a start that is counted as ended before its lease is: it was
+// ordered by a report about the minion's former process, and the later one may
+// hold a longer lease.
+TEST (LeaseBounds, OrdersGoByAReportAboutThePresentProcess)
+{
+  const struct
+  {
+    uint64_t stamp_ms, process_ms, now_ms;
+    bool fresh;
+  } cases[] = {
+    { 1000, 0, 1000, true },
+    { 1000, 1000, 1001, true },
+    { 1000, 1001, 1001, false },
+    { 1000, 0, 1000 + LBD_CONFIRM_TIMEOUT_NS / kMs, false },
+  };
+  for (const auto &c : cases)
+    EXPECT_EQ (lbd_order_is_fresh (c.stamp_ms * kMs, c.process_ms * kMs,
+                                   c.now_ms * kMs),
+               c.fresh)
+        << c.stamp_ms << " " << c.process_ms << " " << c.now_ms;
+}
+
+// Guards against starts at a minion whose lease outlasts the time after which
+// its entries count the runs of a lost agent as ended.
+TEST (LeaseBounds, EntriesWaitForTheLeasesOfAbleMinions)
+{
+  const uint64_t wait_ns = lbd_runs_ended_by (0);
+  const struct
+  {
+    uint64_t left_ns;
+    bool covered;
+  } cases[] = {
+    { 0, true },
+    { lbd_lease_expiry (0, LBD_LEASE_NS), true },
+    { lbd_lease_expiry (0, 1000 * kMs), true },
+    { wait_ns, true },
+    { wait_ns + 1, false },
+    { lbd_lease_expiry (0, 2000 * kMs), false },
+  };
+  for (const auto &c : cases)
+    EXPECT_EQ (lbd_covers_lease (5000 + c.left_ns, 5000), c.covered)
+        << c.left_ns;
+}
+
 TEST (LeaseBounds, RunsOfALostAgentEndBeforeTheCallerResends)
 {
   EXPECT_LE (lbd_runs_ended_by (0), kResendNs);
--- a/tests/unit/minionclock_test.cc
+++ b/tests/unit/minionclock_test.cc
@@ -7,6 +7,7 @@
 namespace
 {
 constexpr uint64_t kMs = 1000000;
+constexpr uint64_t kProcess = 1, kLater = 2;
 
 // Guards against a report that is taken for a new one because it was read just
 // now: it had waited in the socket of a paused or suspended agent.
@@ -38,8 +39,8 @@
       struct mck_clock clock = {};
       const struct mck_stamp stamp = { c.written_ms, c.received_ms * kMs };
       if (c.value_ms != 0)
-        mck_observe (&clock, c.value_ms, c.asked_ms * kMs, 0);
-      EXPECT_EQ (mck_age_ms (&clock, &stamp, c.now_ms * kMs), c.age_ms)
+        mck_observe (&clock, kProcess, c.value_ms, c.asked_ms * kMs, 0);
+      EXPECT_EQ (mck_age_ms (&clock, kProcess, &stamp, c.now_ms * kMs), c.age_ms)
           << c.what;
     }
 }
@@ -50,10 +51,10 @@
 {
   struct mck_clock clock = {};
 
-  EXPECT_EQ (mck_now_ms (&clock, 5000 * kMs), 0U);
-  mck_observe (&clock, 700, 1000 * kMs, 2050 * kMs);
-  EXPECT_EQ (mck_now_ms (&clock, 2050 * kMs), 700U);
-  EXPECT_EQ (mck_now_ms (&clock, 2000 * kMs), 700U);
+  EXPECT_EQ (mck_now_ms (&clock, kProcess, 5000 * kMs), 0U);
+  mck_observe (&clock, kProcess, 700, 1000 * kMs, 2050 * kMs);
+  EXPECT_EQ (mck_now_ms (&clock, kProcess, 2050 * kMs), 700U);
+  EXPECT_EQ (mck_now_ms (&clock, kProcess, 2000 * kMs), 700U);
 }
 
 // Guards against a lease that outlives its expected end: after a freeze of 3 s,
@@ -68,10 +69,30 @@
       struct mck_clock clock = {};
       uint64_t slow_ms = 700 + (uint64_t)(age_ms * kSlow);
 
-      mck_observe (&clock, 700, 1000 * kMs, 2000 * kMs);
-      uint64_t now_ms = mck_now_ms (&clock, (2000 + age_ms) * kMs);
+      mck_observe (&clock, kProcess, 700, 1000 * kMs, 2000 * kMs);
+      uint64_t now_ms = mck_now_ms (&clock, kProcess, (2000 + age_ms) * kMs);
       EXPECT_LE (now_ms, slow_ms) << age_ms;
       EXPECT_GE (now_ms + 1, 700 + age_ms * 0.97) << age_ms;
     }
 }
+
+// Guards against a reckoning with the clock of a former process, which may be
+// far ahead of the later one's (review/13).
+TEST (MinionClock, IsThatOfOneProcess)
+{
+  struct mck_clock clock = {};
+  const struct mck_stamp stamp = { 10, 4000 * kMs };
+
+  mck_observe (&clock, kProcess, 90000, 1000 * kMs, 1000 * kMs);
+  EXPECT_EQ (mck_now_ms (&clock, kLater, 1000 * kMs), 0U);
+  EXPECT_EQ (mck_age_ms (&clock, kLater, &stamp, 4100 * kMs), 100U);
+  /* An answer without a clock says nothing new of the same process.  */
+  mck_observe (&clock, kProcess, 0, 2000 * kMs, 2000 * kMs);
+  EXPECT_EQ (mck_now_ms (&clock, kProcess, 1000 * kMs), 90000U);
+  mck_observe (&clock, kLater, 0, 3000 * kMs, 3000 * kMs);
+  EXPECT_EQ (mck_now_ms (&clock, kProcess, 3000 * kMs), 0U);
+  EXPECT_EQ (mck_now_ms (&clock, kLater, 3000 * kMs), 0U);
+  mck_observe (&clock, kLater, 40, 3000 * kMs, 3000 * kMs);
+  EXPECT_EQ (mck_now_ms (&clock, kLater, 3000 * kMs), 40U);
+}
 } // namespace
--- a/tools/platform_cluster.py
+++ b/tools/platform_cluster.py
@@ -205,11 +205,14 @@
             self.addresses[entry]["jobs"], prefix, name), body,
             {"Host": HOST, "X-Deadline-Ms": str(wait_ms)}, timeout)
 
+    def hold(self, i):
+        """What minion i answers to a poll without a lease."""
+        return http("POST", "http://%s/hold" % self.minions[i].address,
+                    {"fencing_token": 0, "acked_through": 0})[1]
+
     def born(self, i):
         """Start of the process of minion i, as it says itself."""
-        _, answer = http("POST", "http://%s/hold" % self.minions[i].address,
-                         {"fencing_token": 0, "acked_through": 0})
-        return answer["born"]
+        return self.hold(i)["born"]
 
     def events(self):
         """Starts and ends recorded by all minions, ordered by time."""
