Dispatcher: a join counts once its agent has answered on the same connection

Cause: flt_join() took any join for the newest, closed the connection that worked, and reconcile() counted what the old list lacks as ended.

The class is each message that can arrive after a newer one. Read: reports, ends, losses, orders, stops, cancels, exchanges of peers, configuration, drained domains, calls and answers of the minion, sessions of lagoonvale-entry.

Change: a join is answered, and put into effect by the next message on its connection; whoever has given a connection up sends none. A confirmed join drops those of the same agent that arrived before it (src/pendingjoin.c, pure). Since the dispatcher does not reckon from a join before that, its answer confirms no runs at the runner. Joins moved to src/dispatch_join.c.

Ruled out: comparing the agent's timestamps, which have no order between two of its processes after a restart of the instance; numbers from the store.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -38,6 +38,9 @@
     false },
   { "lagoonvale_tasks_poison_total",
     "tasks given up because minions crashed under them", false },
+  { "lagoonvale_joins_dropped_total",
+    "joins of agents that were not confirmed, as they had arrived late",
+    false },
   { "lagoonvale_agents", "agents known, also those lost of late", true },
   { "lagoonvale_agents_joined", "agents that take orders", true },
   { "lagoonvale_open_jobs", "jobs that are not answered yet", true },
@@ -338,6 +341,7 @@
   cnl_init (&d->cancels, mem_ctx);
   drn_init (&d->drains, mem_ctx);
   flt_init (&d->fleet, mem_ctx, &d->drains);
+  pjn_init (&d->joins, mem_ctx);
   crl_init (&d->crashes, mem_ctx);
   blk_init (&d->bulkhead, mem_ctx);
   ctr_init (&d->counters, counter_descs, DSP_COUNTERS);
@@ -359,6 +363,7 @@
   jtb_finish (&d->jobs);
   abd_finish (&d->abandoned);
   cnl_finish (&d->cancels);
+  pjn_finish (&d->joins);
   flt_finish (&d->fleet);
   drn_finish (&d->drains);
   crl_finish (&d->crashes);
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -27,6 +27,7 @@
 #include "lagoonvale/histogram.h"
 #include "lagoonvale/jobtable.h"
 #include "peers.h"
+#include "pendingjoin.h"
 #include "settings.h"
 
 /**
@@ -110,6 +111,7 @@
   DSP_NO_ROOM,
   DSP_CRASHED,
   DSP_POISON,
+  DSP_JOINS_DROPPED,
   DSP_AGENTS,
   DSP_AGENTS_JOINED,
   DSP_OPEN_JOBS,
@@ -157,6 +159,7 @@
   unsigned unsent_cancels;    /* newest of these that peers are not told of */
   struct bkl_backlog backlog; /* late jobs without any order */
   struct flt_fleet fleet;
+  struct pjn_list joins;        /* not confirmed yet */
   struct crl_log crashes;       /* times by clk_boot() */
   struct blk_bulkhead bulkhead; /* times by clk_boot() */
   struct per_peers peers;
--- a/src/dispatch_agents.c
+++ b/src/dispatch_agents.c
@@ -4,7 +4,6 @@
 #include <talloc.h>
 #include <utlist.h>
 
-#include "lagoonvale/name.h"
 #include "logline.h"
 #include "wire.h"
 #include "xtalloc.h"
@@ -106,165 +105,13 @@
       d, job, jtb_requeue (&d->jobs, task, end->how == LVP_HOW_FAILED));
 }
 
-/* Put TASK, whose run has ended for certain, back into the queue without
-   using up an attempt.  */
-static void
-requeue_run (struct dsp_dispatch *d, struct jtb_task *task, const char *why)
-{
-  log_ratelimited (LOGL_INFO, "task-again",
-                   "job=%s task=%u attempt=%u agent=%s why=%s", task->job->id,
-                   task->index, task->attempt, dsp_agent_of (task)->name, why);
-  dsp_record_step (task, 1, why);
-  ctr_add (&d->counters, DSP_TASKS_AGAIN, 1);
-  jtb_requeue (&d->jobs, task, false);
-}
-
 void
 dsp_requeue_lapsed (struct dsp_dispatch *d, uint64_t now_ns)
 {
   struct jtb_task *task;
 
   while ((task = jtb_find_lapsed (&d->jobs, now_ns)) != NULL)
-    requeue_run (d, task, "lease-lapsed");
-}
-
-static bool
-lists_run (const lvp_join *join, uint64_t run)
-{
-  u_int i;
-
-  for (i = 0; i < join->runs.runs_len; i++)
-    if (join->runs.runs_val[i] == run)
-      return true;
-  return false;
-}
-
-/* The runs of TASK at an agent that has joined, and does not list it, end by
-   their lease at the latest: the former process of that agent is gone.  */
-static void
-await_lapse (struct jtb_task *task)
-{
-  if (task->state != JTB_PLACED)
-    return;
-  task->state = JTB_UNREACHABLE;
-  task->runs_until_ns = lbd_runs_ended_by (clk_boot ());
-}
-
-/* Update the runs at agent A from its join.  Runs that it does not list have
-   ended if it has listed all runs at its minion, and end soon in any case.  */
-static void
-reconcile (struct dsp_dispatch *d, struct flt_agent *a, const lvp_join *join)
-{
-  struct jtb_task *task;
-  struct jtb_task *next;
-  bool ours = join->entry == d->incarnation;
-
-  HASH_ITER (hh, d->jobs.runs, task, next)
-  {
-    if (dsp_agent_of (task) != a)
-      continue;
-    if (ours && lists_run (join, task->run))
-      task->state = JTB_PLACED;
-    else if (join->report.synced)
-      requeue_run (d, task, "agent-joined");
-    else
-      await_lapse (task);
-  }
-}
-
-/* The same for the runs there of jobs that are gone.  */
-static void
-reconcile_abandoned (struct dsp_dispatch *d, const struct flt_agent *a,
-                     const lvp_join *join)
-{
-  bool ours = join->entry == d->incarnation;
-  uint64_t others_ended_by_ns
-      = join->report.synced ? 0 : lbd_runs_ended_by (clk_boot ());
-
-  abd_agent_listed (&d->abandoned, a, join->runs.runs_val,
-                    ours ? join->runs.runs_len : 0, others_ended_by_ns);
-}
-
-/* Stop the runs in JOIN of agent A that belong to no open task any more: their
-   job has ended, or they were counted as ended, while A was not connected, so
-   that their stop could not be sent or was lost.  */
-static void
-stop_orphans (struct dsp_dispatch *d, struct flt_agent *a,
-              const lvp_join *join)
-{
-  lvp_stop stop = { 0 };
-  u_int i;
-
-  if (join->entry != d->incarnation || a->conn == NULL)
-    return;
-  stop.runs.runs_val = xtalloc_array (NULL, u_quad_t, join->runs.runs_len);
-  for (i = 0; i < join->runs.runs_len; i++)
-    if (jtb_find_run (&d->jobs, join->runs.runs_val[i]) == NULL)
-      stop.runs.runs_val[stop.runs.runs_len++] = join->runs.runs_val[i];
-  if (stop.runs.runs_len > 0)
-    {
-      log_line (LOGL_INFO, "orphans-stopped", "agent=%s runs=%u listed=%u",
-                a->name, stop.runs.runs_len, join->runs.runs_len);
-      dsp_send_stop (a, &stop);
-    }
-  talloc_free (stop.runs.runs_val);
-}
-
-static lvp_report_res
-make_report_res (struct dsp_dispatch *d, const struct flt_agent *a,
-                 lvp_endpoint endpoints[PER_MAX], u_quad_t known)
-{
-  lvp_report_res res = { 0 };
-
-  res.drain_position = d->drains.position;
-  res.drained = drn_contains (&d->drains, lv_slice_of (a->domain));
-
-  res.hungry = d->jobs.queue != NULL;
-  res.entries
-      = per_list (&d->peers, clk_boot (), endpoints, known, &res.digest);
-  return res;
-}
-
-void
-dsp_on_join (struct dsp_dispatch *d, struct onc_conn *conn, uint32_t xid,
-             XDR *args)
-{
-  lvp_endpoint endpoints[PER_MAX];
-  lvp_join_res res = { 0 };
-  struct flt_agent *a;
-  lvp_join join;
-
-  if (!WIR_DECODE (lvp_join, args, &join))
-    {
-      onc_close (conn, -EBADMSG, "join cannot be decoded");
-      return;
-    }
-  if (!nam_valid (lv_slice_of (join.name))
-      || !nam_valid (lv_slice_of (join.domain))
-      || !nam_valid (lv_slice_of (join.service)))
-    {
-      onc_close (conn, -EILSEQ, "invalid name in a join");
-      WIR_FREE (lvp_join, &join);
-      return;
-    }
-  a = flt_join (&d->fleet, conn, &join, clk_boot ());
-  if (a->lost_ns != 0)
-    dsp_record_time (d, DSP_TIME_RECOVERY, "agent-lost-to-joined",
-                     clk_since (clk_boot (), a->lost_ns));
-  a->lost_ns = 0;
-  log_line (LOGL_INFO, "agent-joined",
-            "agent=%s incarnation=%llx runs=%u synced=%d accepting=%d "
-            "total_mcores=%u free_mcores=%u",
-            a->name, (unsigned long long)a->incarnation, join.runs.runs_len,
-            a->synced, a->accepting, a->total.mcores, a->free.mcores);
-  reconcile (d, a, &join);
-  reconcile_abandoned (d, a, &join);
-  res.incarnation = d->incarnation;
-  res.report = make_report_res (d, a, endpoints, 0);
-  onc_reply (conn, xid, (xdrproc_t)xdr_lvp_join_res, &res);
-  stop_orphans (d, a, &join);
-  WIR_FREE (lvp_join, &join);
-  dsp_schedule_placement (d);
+    dsp_requeue_run (d, task, "lease-lapsed");
 }
 
 /* Agent A has listed all runs at its minion some time after its join.  Its
@@ -278,7 +125,7 @@
   HASH_ITER (hh, d->jobs.runs, task, next)
   {
     if (dsp_agent_of (task) == a && task->state == JTB_UNREACHABLE)
-      requeue_run (d, task, "agent-synced");
+      dsp_requeue_run (d, task, "agent-synced");
   }
 }
 
@@ -303,7 +150,7 @@
               struct onc_conn *conn, uint32_t xid, u_quad_t known)
 {
   lvp_endpoint endpoints[PER_MAX];
-  lvp_report_res res = make_report_res (d, a, endpoints, known);
+  lvp_report_res res = dsp_make_report_res (d, a->domain, endpoints, known);
 
   onc_reply (conn, xid, (xdrproc_t)xdr_lvp_report_res, &res);
 }
@@ -312,7 +159,7 @@
 dsp_on_report (struct dsp_dispatch *d, struct onc_conn *conn, uint32_t xid,
                XDR *args)
 {
-  struct flt_agent *a = flt_find_by_conn (&d->fleet, conn);
+  struct flt_agent *a = dsp_confirm_join (d, conn);
   lvp_report report;
 
   if (a == NULL || !WIR_DECODE (lvp_report, args, &report))
@@ -329,7 +176,7 @@
 dsp_on_ends (struct dsp_dispatch *d, struct onc_conn *conn, uint32_t xid,
              XDR *args)
 {
-  struct flt_agent *a = flt_find_by_conn (&d->fleet, conn);
+  struct flt_agent *a = dsp_confirm_join (d, conn);
   lvp_ends ends;
   u_int i;
 
@@ -416,7 +263,7 @@
 void
 dsp_on_loss (struct dsp_dispatch *d, struct onc_conn *conn, XDR *args)
 {
-  struct flt_agent *a = flt_find_by_conn (&d->fleet, conn);
+  struct flt_agent *a = dsp_confirm_join (d, conn);
   lvp_loss loss;
 
   if (a == NULL || !WIR_DECODE (lvp_loss, args, &loss))
@@ -452,6 +299,7 @@
   struct dsp_dispatch *d = priv;
   struct flt_agent *a = flt_find_by_conn (&d->fleet, conn);
 
+  dsp_drop_join (d, conn, err->detail);
   if (a != NULL)
     mark_agent_lost (d, a, err->detail);
 }
@@ -465,4 +313,5 @@
   DL_FOREACH_SAFE (d->fleet.agents, a, next)
   if (a->conn != NULL && !lbd_is_fresh (a->last_report_ns, now_ns))
     onc_close (a->conn, -ETIMEDOUT, "no report within the timeout");
+  dsp_close_unconfirmed (d, now_ns);
 }
--- a/src/dispatch_parts.h
+++ b/src/dispatch_parts.h
@@ -5,7 +5,8 @@
  * those below it:
  *
  *   dispatch.c          start and shutdown, configuration, ticks
- *   dispatch_agents.c   messages of agents: joins, reports, ends of runs
+ *   dispatch_agents.c   messages of agents: reports, ends of runs, losses
+ *   dispatch_join.c     joins of agents, and what follows for their runs
  *   dispatch_cancel.c   cancelled jobs, here and at other entries
  *   dispatch_jobs.c     jobs from submission to answer
  *   dispatch_place.c    placement of tasks, orders to agents
@@ -170,15 +171,41 @@
  * cannot start in time. */
 void dsp_expire_jobs (struct dsp_dispatch *d, uint64_t now_ns);
 
+/* dispatch_join.c */
+
+/** dsp_requeue_run() - put @task, whose run has ended for certain, back into
+ * the queue without using up an attempt. */
+void dsp_requeue_run (struct dsp_dispatch *d, struct jtb_task *task,
+                      const char *why);
+/** dsp_make_report_res() - answer to a report of an agent in @domain, which
+ * has the list of entries with digest @known, or 0; it refers to @endpoints.
+ */
+lvp_report_res dsp_make_report_res (struct dsp_dispatch *d, const char *domain,
+                                    lvp_endpoint endpoints[PER_MAX],
+                                    u_quad_t known);
+/** dsp_on_join() - answer the join call of an agent, see pendingjoin.h. */
+void dsp_on_join (struct dsp_dispatch *d, struct onc_conn *conn, uint32_t xid,
+                  XDR *args);
+/**
+ * dsp_confirm_join() - a message other than a join has arrived on @conn
+ *
+ * Return: the agent that has joined there, now or before, or NULL.
+ */
+struct flt_agent *dsp_confirm_join (struct dsp_dispatch *d,
+                                    struct onc_conn *conn);
+/** dsp_drop_join() - drop the join on @conn, if one is not confirmed. */
+void dsp_drop_join (struct dsp_dispatch *d, const struct onc_conn *conn,
+                    const char *why);
+/** dsp_close_unconfirmed() - close connections whose joins are not confirmed
+ * in time. */
+void dsp_close_unconfirmed (struct dsp_dispatch *d, uint64_t now_ns);
+
 /* dispatch_agents.c */
 
 /** dsp_requeue_lapsed() - requeue tasks whose runs at lost agents have ended
  * for certain. */
 void dsp_requeue_lapsed (struct dsp_dispatch *d, uint64_t now_ns);
 
-/** dsp_on_join() - handle and answer the join call of an agent. */
-void dsp_on_join (struct dsp_dispatch *d, struct onc_conn *conn, uint32_t xid,
-                  XDR *args);
 /** dsp_on_report() - handle and answer a report of an agent. */
 void dsp_on_report (struct dsp_dispatch *d, struct onc_conn *conn,
                     uint32_t xid, XDR *args);
@@ -188,10 +215,12 @@
 /** dsp_on_loss() - handle the notice that runs are lost with the minion of an
  * agent, or what became of it. */
 void dsp_on_loss (struct dsp_dispatch *d, struct onc_conn *conn, XDR *args);
-/** dsp_on_closed() - mark the agent of a closed connection as lost. */
+/** dsp_on_closed() - mark the agent of a closed connection as lost, and drop
+ * a join there. */
 void dsp_on_closed (struct onc_conn *conn, const struct err_error *err,
                     void *priv);
-/** dsp_close_silent() - close connections of agents without recent reports. */
+/** dsp_close_silent() - close connections of agents without recent reports,
+ * and of joins that are not confirmed. */
 void dsp_close_silent (struct dsp_dispatch *d, uint64_t now_ns);
 
 #endif
--- a/src/runner_entries.c
+++ b/src/runner_entries.c
@@ -184,11 +184,13 @@
   s->incarnation = out.incarnation;
   s->joined = true;
   s->failed = false;
-  s->confirmed_ns = sent_ns;
+  s->joined_ns = sent_ns;
   log_line (LOGL_INFO, "entry-joined", "entry=%s incarnation=%llx", s->address,
             (unsigned long long)s->incarnation);
   rnr_apply_answer (s, &out.report);
   WIR_FREE (lvp_join_res, &out);
+  /* Its arrival confirms the join, its answer the runs.  */
+  rnr_send_report (s);
   rnr_send_losses (s);
   rnr_send_ends (s);
 }
@@ -276,9 +278,11 @@
 static bool
 is_dead (const struct rnr_session *s, uint64_t now_ns)
 {
-  return !lbd_is_fresh (s->confirmed_ns, now_ns)
+  uint64_t answered_ns = rnr_answered_ns (s);
+
+  return !lbd_is_fresh (answered_ns, now_ns)
          && (!lbd_is_fresh (onc_last_received (s->conn), clk_boot ())
-             || clk_since (now_ns, s->confirmed_ns) >= CONFIRM_MAX_NS);
+             || clk_since (now_ns, answered_ns) >= CONFIRM_MAX_NS);
 }
 
 static void
--- a/src/runner_parts.h
+++ b/src/runner_parts.h
@@ -33,7 +33,9 @@
  * @has_backlog: tasks wait there for capacity
  * @reported: a report was sent during the current rnr_notify_entries()
  * @incarnation: of the entry, from the last answered join, or 0
- * @confirmed_ns: when the newest answered report was sent
+ * @joined_ns: when the last answered join was sent
+ * @confirmed_ns: when the newest answered report was sent; an answer to a join
+ * confirms no runs, since the join does not count before the next message
  * @learned_ns: when its address was last received
  * @orders: received on this connection
  * @lost_ns: when its connection ended, 0 while joined or never joined
@@ -56,6 +58,7 @@
   bool has_backlog;
   bool reported;
   uint64_t incarnation;
+  uint64_t joined_ns;
   uint64_t confirmed_ns;
   uint64_t reported_ns;
   uint64_t dialed_ns;
@@ -106,6 +109,14 @@
   unsigned ends_series; /* of the session when it was sent */
 };
 
+/** rnr_answered_ns() - when the newest message was sent that the entry of @s
+ * has answered. */
+static inline uint64_t
+rnr_answered_ns (const struct rnr_session *s)
+{
+  return s->confirmed_ns > s->joined_ns ? s->confirmed_ns : s->joined_ns;
+}
+
 /* runner_entries.c */
 
 /** rnr_tick_sessions() - dial, report, time out; stop unconfirmed runs. */
--- a/src/runner_reports.c
+++ b/src/runner_reports.c
@@ -70,8 +70,9 @@
           .starts_left = wmp_starts_left (&r->minion.warmup, now_ns),
           .orders = s->orders,
           .confirmed_ms
-          = s->joined ? (u_int)(clk_since (now_ns, s->confirmed_ns) / CLK_MS)
-                      : 0,
+          = s->joined
+                ? (u_int)(clk_since (now_ns, rnr_answered_ns (s)) / CLK_MS)
+                : 0,
           .known = clk_since (now_ns, s->full_list_ns) < FULL_LIST_INTERVAL_NS
                        ? s->list_digest
                        : 0,
