Build: a folder that was carried over is rebuilt; programs log what they are of

Found on the way: make goes by file times, so that a target/ of older sources beside sources that were unpacked with the times of their commits is taken as built.

Change: tools/build_id compares sources by content, the compiler, its flags and the libraries with those of the last build, and deletes the objects that make would take for new. Dispatcher and runner log the digest as `build=` at their start, so that the next report tells which sources were played.

--- a/Makefile
+++ b/Makefile
@@ -18,11 +18,16 @@
 PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
 PKG_LIBS = $(shell pkg-config --libs $(PKGS))
 ALL_CFLAGS = -std=gnu11 $(CFLAGS) $(SAN) $(WARN) -D_GNU_SOURCE -Iinclude \
-  -Isrc -Iplatform $(PKG_CFLAGS) -MMD -MP -pthread
+  -Isrc -Iplatform $(PKG_CFLAGS) $(ID_CFLAGS) -MMD -MP -pthread
 ALL_CXXFLAGS = -std=c++17 $(CFLAGS) $(SAN) -Wall -Iinclude -Isrc -Iplatform \
   $(PKG_CFLAGS) -MMD -MP -pthread
 LIBS = -Wl,--as-needed $(PKG_LIBS) -lunistring -lm -pthread
 
+# Also deletes objects that do not belong to these sources, flags or libraries.
+ifneq ($(MAKECMDGOALS),clean)
+BUILD_ID := $(shell tools/build_id '$(B)' '$(CC)' '$(CFLAGS) $(SAN)' '$(PKGS)')
+endif
+
 LIB_SRC = $(wildcard src/*.c)
 LIB_OBJ = $(LIB_SRC:%.c=$(B)/%.o)
 PROGRAMS = $(B)/lagoonvale-entry $(B)/lagoonvale-agent $(B)/lagoonvale \
@@ -48,6 +53,9 @@
 	ar rcs $@ $^
 
 $(B)/src/lvproto_xdr.o: WARN = -w
+$(B)/src/buildid.o: ID_CFLAGS = -DLV_BUILD_ID='"$(BUILD_ID)"'
+$(B)/src/buildid.o: $(B)/build-id
+$(B)/build-id: ;
 
 $(B)/%.o: %.c
 	@mkdir -p $(@D)
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -167,6 +167,9 @@
     ("unconfirmed-joins-kept", "src/dispatch_agents.c",
      "  dsp_close_unconfirmed (d, now_ns);\n", "",
      "test_joins_that_are_never_confirmed"),
+    ("sources-by-their-times-only", "tools/build_id",
+     "is_current || find", "true || find",
+     "test_other_sources_are_built"),
     ("drained-domain-placed", "src/fleet.c",
      "          = a->says_drained\n"
      "            || drn_contains (a->fleet->drains, lv_slice_of (a->domain)) };",
@@ -248,7 +251,7 @@
 def run(name, path, old, new, test):
     with tempfile.TemporaryDirectory(prefix="mutant-") as copy:
         shutil.copytree(ROOT, copy, dirs_exist_ok=True,
-                        ignore=shutil.ignore_patterns("build*", ".git"))
+                        ignore=shutil.ignore_patterns("build", "build-*", ".git"))
         shutil.copytree(os.path.join(ROOT, "build"),
                         os.path.join(copy, "build"))
         mutate(copy, name, path, old, new)
