Web: the end of a caller's connection is seen behind a request that waits

Cause: watch_cb() read ahead one byte to find the end of the connection, and stopped watching once there was one.

The class is an end that is not seen, as something else comes first.

Change: pending requests are watched by one epoll instance a server, for the end of their connections only; a request that stays pending is checked once before what it has scheduled begins.

--- a/src/web.c
+++ b/src/web.c
@@ -2,11 +2,14 @@
 
 #include <errno.h>
 #include <microhttpd.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <talloc.h>
+#include <unistd.h>
 
 #include "body.h"
 #include "lagoonvale/uri.h"
@@ -22,9 +25,11 @@
 #define CONNECTION_BYTES ((size_t)8192)
 #define TICK_MS 500
 
+/* WATCHES: epoll instance with the connections of pending requests.  */
 struct web_server
 {
   struct MHD_Daemon *daemon;
+  int watches;
   struct tevent_context *ev;
   struct tevent_immediate *run;
   bool run_scheduled;
@@ -46,7 +51,7 @@
   struct web_server *server;
   struct web_connection *peer;
   struct MHD_Connection *connection;
-  struct tevent_fd *watch;
+  bool watched; /* its connection is in the server's @watches */
   char *method;
   char *path;
   struct bdy_body body;
@@ -107,10 +112,20 @@
   run_now (priv);
 }
 
+/* Stop watching the connection of R.  */
+static int
+unwatch (struct web_request *r)
+{
+  if (r->watched)
+    epoll_ctl (r->server->watches, EPOLL_CTL_DEL, r->peer->fd, NULL);
+  r->watched = false;
+  return 0;
+}
+
 static void
 finish_request (struct web_request *r)
 {
-  TALLOC_FREE (r->watch);
+  unwatch (r);
   r->finished = true;
   if (!r->suspended)
     return;
@@ -119,39 +134,59 @@
   schedule_run (r->server);
 }
 
-/* The caller's socket is readable while its request is pending: it has closed
-   the connection or pipelines its next request.  */
+/* Watch the connection of R, whose request is pending, for its end.  That is
+   seen behind bytes that nobody has read yet, such as a pipelined request.  */
 static void
-watch_cb (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
-          void *priv)
+watch (struct web_request *r)
 {
-  struct web_request *r = priv;
-  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
-      r->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  char byte;
-  ssize_t n = recv (info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  struct epoll_event event = { .events = EPOLLRDHUP, .data.ptr = r };
 
-  (void)ev;
-  (void)fde;
-  (void)flags;
-  if (n > 0 || (n < 0 && errno == EAGAIN))
-    {
-      if (n > 0)
-        TALLOC_FREE (r->watch);
-      return;
-    }
+  r->watched
+      = epoll_ctl (r->server->watches, EPOLL_CTL_ADD, r->peer->fd, &event)
+        == 0;
+  if (!r->watched)
+    log_line (LOGL_WARN, "client-not-watched", "path=%s code=%d", r->path,
+              -errno);
+}
+
+static void
+caller_gone (struct web_request *r)
+{
   if (r->disconnected != NULL)
     r->disconnected (r->disconnected_priv);
   r->disconnected = NULL;
   finish_request (r);
 }
 
+/* Whether the caller of R has closed its connection, at least its side.  */
+static bool
+is_gone (const struct web_request *r)
+{
+  struct pollfd fd = { .fd = r->peer->fd, .events = POLLRDHUP };
+
+  return poll (&fd, 1, 0) > 0;
+}
+
+/* One at a time: the end of a request may end others.  */
+static void
+watches_cb (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+            void *priv)
+{
+  struct web_server *s = priv;
+  struct epoll_event event;
+
+  (void)ev;
+  (void)fde;
+  (void)flags;
+  while (epoll_wait (s->watches, &event, 1, 0) > 0)
+    caller_gone (event.data.ptr);
+}
+
 static enum MHD_Result
 dispatch (struct web_request *r)
 {
   struct web_server *s = r->server;
   struct web_call call;
-  const union MHD_ConnectionInfo *info;
 
   r->dispatched = true;
   clt_request_begun (s->limits.clients, &r->peer->client);
@@ -161,12 +196,12 @@
   call.body.data = r->body.data;
   call.body.len = r->body.len;
   s->handler (r, &call, s->priv);
+  /* What the handler has scheduled has not begun yet.  */
+  if (!r->finished && is_gone (r))
+    caller_gone (r);
   if (r->finished)
     return MHD_YES;
-  info = MHD_get_connection_info (r->connection,
-                                  MHD_CONNECTION_INFO_CONNECTION_FD);
-  r->watch = xtalloc_check (
-      tevent_add_fd (s->ev, r, info->connect_fd, TEVENT_FD_READ, watch_cb, r));
+  watch (r);
   r->suspended = true;
   MHD_suspend_connection (r->connection);
   return MHD_YES;
@@ -314,6 +349,7 @@
   r->peer = info->socket_context;
   r->method = xtalloc_strdup (r, method);
   r->path = uri_path (r, lv_slice_of (url));
+  talloc_set_destructor (r, unwatch);
   return r;
 }
 
@@ -446,6 +482,21 @@
   s->limits.body_max = body_max;
 }
 
+/* Return: 0 or -errno.  */
+static int
+watch_clients (struct web_server *s)
+{
+  struct tevent_fd *fde;
+
+  s->watches = epoll_create1 (EPOLL_CLOEXEC);
+  if (s->watches < 0)
+    return -errno;
+  fde = xtalloc_check (
+      tevent_add_fd (s->ev, s, s->watches, TEVENT_FD_READ, watches_cb, s));
+  tevent_fd_set_auto_close (fde);
+  return 0;
+}
+
 struct web_server *
 web_listen (void *mem_ctx, struct tevent_context *ev, const char *listen,
             const struct web_limits *limits, web_handler_fn handler,
@@ -478,6 +529,13 @@
       talloc_free (s);
       return NULL;
     }
+  *rc = watch_clients (s);
+  if (*rc != 0)
+    {
+      MHD_stop_daemon (s->daemon);
+      talloc_free (s);
+      return NULL;
+    }
   info = MHD_get_daemon_info (s->daemon, MHD_DAEMON_INFO_EPOLL_FD);
   xtalloc_check (
       tevent_add_fd (ev, s, info->epoll_fd, TEVENT_FD_READ, ready_cb, s));
--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -170,6 +170,12 @@
     ("sources-by-their-times-only", "tools/build_id",
      "is_current || find", "true || find",
      "test_other_sources_are_built"),
+    ("end-of-a-caller-behind-unread-bytes", "src/web.c",
+     ".events = EPOLLRDHUP, ", ".events = 0, ",
+     "test_a_caller_that_leaves_behind"),
+    ("request-of-a-caller-that-has-left", "src/web.c",
+     "  if (!r->finished && is_gone (r))", "  if (false)",
+     "test_a_request_that_arrives_with_the_end"),
     ("drained-domain-placed", "src/fleet.c",
      "          = a->says_drained\n"
      "            || drn_contains (a->fleet->drains, lv_slice_of (a->domain)) };",
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -5,6 +5,7 @@
 import http.server as http_server
 import json
 import os
+import socket
 import struct
 import subprocess
 import threading
@@ -357,6 +358,83 @@
         self.assertLess(time.monotonic() - began, 1.0)
         self.check_rules(c)
 
+    def open_channel(self, c, entry=0):
+        host, port = c.addresses[entry]["jobs"].split(":")
+        channel = socket.create_connection((host, int(port)), timeout=6)
+        self.addCleanup(channel.close)
+        return channel
+
+    @staticmethod
+    def request(method, path, body=b""):
+        return ("%s %s HTTP/1.1\r\nHost: %s\r\nX-Deadline-Ms: 8000\r\n"
+                "Content-Length: %d\r\n\r\n"
+                % (method, path, HOST, len(body))).encode() + body
+
+    def await_starts(self, c, name, count):
+        self.assertTrue(wait_until(lambda: len([
+            e for e in c.events() if e["what"] == "start"
+            and e["task"].startswith(name)]) == count))
+
+    # Guards against a job that runs on beside its repetition: its caller had
+    # left behind a request that waited on the same connection (review/12).
+    def test_a_caller_that_leaves_behind_a_pipelined_request_is_noticed(self):
+        c = self.ready(entries=2, agents=2)
+        body = json.dumps(job(count=2, run_ms=2500)).encode()
+
+        def reset(channel):
+            channel.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                               struct.pack("ii", 1, 0))
+            channel.close()
+
+        def end(channel):
+            channel.shutdown(socket.SHUT_WR)
+
+        for leave in (reset, socket.socket.close, end):
+            with self.subTest(leave=leave.__name__):
+                name = os.urandom(8).hex()
+                channel = self.open_channel(c)
+                channel.sendall(self.request("POST", "/rush/" + name, body))
+                self.await_starts(c, name, 2)
+                channel.sendall(self.request("GET", "/rush/"))
+                time.sleep(0.1)
+                leave(channel)
+                time.sleep(RESEND_S)
+                self.assertEqual(c.submit(1, json.loads(body), name)[0], 200)
+                self.check_rules(c)
+
+    # Guards against pipelined requests that are lost while connections are
+    # watched: each has its answer, in order.
+    def test_pipelined_requests_are_answered_in_order(self):
+        c = self.ready(entries=1, agents=1)
+        body = json.dumps(job(run_ms=300)).encode()
+        channel = self.open_channel(c)
+        channel.sendall(self.request("POST", "/rush/" + os.urandom(8).hex(),
+                                     body))
+        time.sleep(0.1)
+        channel.sendall(self.request("GET", "/rush/")
+                        + self.request("GET", "/none/"))
+        answers = b""
+        while answers.count(b"HTTP/1.1 ") < 3:
+            answers += channel.recv(65536)
+        self.assertEqual([a[:3] for a in answers.split(b"HTTP/1.1 ")[1:]],
+                         [b"200", b"200", b"404"])
+
+    # Guards against a start for a caller that has left before its request is
+    # read: its job may be under way elsewhere already.
+    def test_a_request_that_arrives_with_the_end_of_its_caller_is_not_run(self):
+        c = self.ready(entries=1, agents=1)
+        for _ in range(5):
+            name = os.urandom(8).hex()
+            body = json.dumps(job(count=2, run_ms=300)).encode()
+            c.entries[0].pause()
+            channel = self.open_channel(c)
+            channel.sendall(self.request("POST", "/rush/" + name, body))
+            channel.close()
+            c.entries[0].resume()
+            self.assertEqual(c.submit(0, job(run_ms=5))[0], 200)
+            self.assertEqual([e for e in c.events()
+                              if e.get("task", "").startswith(name)], [])
+
     def test_a_job_sent_twice_runs_once_at_a_time(self):
         c = self.ready(entries=2)
         callers = [Callers(c, workers=1, run_ms=10)]
