Jobs: a job can be cancelled when its queue is gone

Cause: route() refused a path that no queue matches before it looked at the method.

Change: such a DELETE cancels the job whose id ends the path.

--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -176,6 +176,9 @@
     ("request-of-a-caller-that-has-left", "src/web.c",
      "  if (!r->finished && is_gone (r))", "  if (false)",
      "test_a_request_that_arrives_with_the_end"),
+    ("no-cancel-without-a-queue", "platform/pfm_jobs.c",
+     'strcmp (call->method, "DELETE") == 0 && id != NULL', "false",
+     "test_a_job_whose_queue_is_dropped"),
     ("drained-domain-placed", "src/fleet.c",
      "          = a->says_drained\n"
      "            || drn_contains (a->fleet->drains, lv_slice_of (a->domain)) };",
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -158,6 +158,40 @@
 
     # Guards against a cancel that overtakes the job, or its repetition through
     # another entry, and against odd ones that do harm.
+    # Guards against a job that cannot be cancelled once its queue is gone: its
+    # tasks started on (review/15).
+    def test_a_job_whose_queue_is_dropped_can_be_cancelled(self):
+        for entry, status in ((0, 200), (1, 410)):
+            with self.subTest(entry=entry):
+                c = self.ready(entries=2, agents=1)
+                name, answers = os.urandom(8).hex(), []
+                caller = threading.Thread(target=lambda: answers.append(
+                    c.submit(0, job(count=80, run_ms=900), name,
+                             wait_ms=9000, timeout=12)))
+                caller.start()
+                self.await_starts(c, name, 8)
+                c.publish(queue("other", "/other/"))
+                self.assertTrue(wait_until(lambda: all(
+                    c.submit(i, job(run_ms=5))[0] == 404 for i in (0, 1))))
+
+                def delete(path):
+                    return http("DELETE", "http://%s%s" % (
+                        c.addresses[entry]["jobs"], path),
+                        headers={"Host": HOST})[0]
+                self.assertEqual(delete("/rush/" + name), status)
+                cancelled = time.monotonic()
+                caller.join()
+                self.assertEqual(answers, [(200, {"state": "cancelled"})])
+                self.assertLess(max(e["at"] for e in c.events()
+                                    if e["what"] == "start"),
+                                cancelled + CANCEL_S)
+                # What names no job.
+                self.assertEqual(delete("/rush/" + "0" * 16), 410)
+                for path in ("/rush/", "/rush/" + "0" * 15, "/",
+                             "/rush/" + "0" * 17, "/rush/" + "x" * 16):
+                    self.assertIn(delete(path), (400, 404), path)
+                self.check_rules(c)
+
     def test_a_job_that_was_cancelled_before_does_not_run(self):
         c = self.ready()
         name = os.urandom(8).hex()
