--- a/tests/unit/runner_harness.c
+++ b/tests/unit/runner_harness.c
@@ -41,6 +41,8 @@
 {
   struct rnt_harness *h = priv;
 
+  (void)ends_through;
+  (void)wait_ms;
   h->poll.token = lease->token;
   h->poll.expires_ms = lease->expires_ms;
   h->poll.done = done;
