--- a/tests/mutants.py
+++ b/tests/mutants.py
@@ -160,6 +160,10 @@
      "  onc_reply (conn, xid, (xdrproc_t)xdr_lvp_join_res, &res);\n"
      "  dsp_confirm_join (d, conn);\n",
      "test_late_messages"),
+    ("runs-confirmed-by-the-answer-to-a-join", "src/runner_entries.c",
+     "  s->joined_ns = sent_ns;\n",
+     "  s->joined_ns = s->confirmed_ns = sent_ns;\n",
+     "test_the_answer_to_a_join"),
     ("earlier-joins-kept", "src/pendingjoin.c",
      "    if (strcmp (join->message.name, confirmed->message.name) == 0)\n"
      "      return join;\n", "",
--- a/tests/process/test_late_messages.py
+++ b/tests/process/test_late_messages.py
@@ -11,12 +11,21 @@
 
 MARK_BYTES = 4
 LAST_FRAGMENT = 0x80000000
+# Name of the agent whose connections are refused, lost and muted.
+TROUBLED = b"agent-0"
 TASKS = 8
 RUN_MS = 1500
 # A minion may take 50 ms for a stop.
 SLOW_STOP_MS = 45
 # An agent gives up a join without an answer after 0.5 s.
 ANSWER_S = 1.0
+# So long that the lease has to end a run.
+NO_STOP_MS = 4000
+# With the age of the last confirmation, 0.125 s, less than the time after which
+# an agent stops unconfirmed runs, 0.5 s.
+REJOIN_S = 0.2
+# Longer than any reckoning of a lost agent.
+MUTED_S = 2.0
 
 
 def parse(address):
@@ -26,10 +35,13 @@
 
 class JoinRecorder:
     """Forwards connections of runners to a dispatcher, and keeps the first
-    message on each, which is a join."""
+    message on each, which is a join.  It can refuse the connections of agent-0,
+    lose those that are open, and mute them: they carry a join and its answer
+    then, and no more."""
 
     def __init__(self, listen, target):
         self.target, self.joins = parse(target), []
+        self.open, self.refuse, self.muted = [], False, False
         self.socket = socket.create_server(parse(listen))
         threading.Thread(target=self.accept, daemon=True).start()
 
@@ -44,39 +56,58 @@
 
     def serve(self, near):
         try:
+            join = self.read_join(near)
+            troubled = TROUBLED in join
+            if troubled and self.refuse:
+                raise OSError
             far = socket.create_connection(self.target, timeout=1)
         except OSError:
             near.close()
             return
         far.settimeout(None)
-        threading.Thread(target=self.copy, args=(far, near),
+        answered = threading.Event()
+        if troubled:
+            self.open += [near, far]
+        self.joins.append(join)
+        far.sendall(join)
+        threading.Thread(target=self.copy, args=(far, near, troubled, answered),
                          daemon=True).start()
-        self.record(near, far)
-        self.copy(near, far)
+        if troubled and self.muted:
+            answered.wait()
+        self.copy(near, far, troubled, answered)
+
+    def lose_connections(self):
+        for s in self.open:
+            try:
+                s.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        self.open = []
 
-    def record(self, near, far):
+    def read_join(self, near):
+        """An agent sends nothing else before it has the answer."""
         join = b""
         while len(join) < MARK_BYTES or len(join) < self.size_of(join):
             data = near.recv(65536)
             if not data:
-                return
+                raise OSError
             join += data
-        self.joins.append(join[:self.size_of(join)])
-        far.sendall(join)
+        return join
 
     @staticmethod
     def size_of(record):
         mark = int.from_bytes(record[:MARK_BYTES], "big")
         return MARK_BYTES + (mark & ~LAST_FRAGMENT)
 
-    @staticmethod
-    def copy(source, sink):
+    def copy(self, source, sink, troubled, answered):
         try:
             while True:
                 data = source.recv(65536)
                 if not data:
                     break
-                sink.sendall(data)
+                if not (troubled and self.muted and answered.is_set()):
+                    sink.sendall(data)
+                answered.set()
         except OSError:
             pass
         for s in (source, sink):
@@ -182,6 +213,26 @@
         self.assertEqual(c.submit(0, job(count=TASKS, run_ms=5))[0], 200)
         self.check_undisturbed(c, c.recorder.joins_of("agent-0")[0])
 
+    # Guards against runs that go on for longer than their dispatcher reckons:
+    # the agent counted the answer to a join as a confirmation, and then nothing
+    # got through.
+    def test_the_answer_to_a_join_confirms_no_runs(self):
+        c = self.ready()
+        for minion in c.minions:
+            c.set_mode(minion, stop_ms=NO_STOP_MS)
+        thread, answers = self.submit_in_background(c)
+        c.recorder.refuse = c.recorder.muted = True
+        c.recorder.lose_connections()
+        time.sleep(REJOIN_S)
+        c.recorder.refuse = False
+        time.sleep(MUTED_S)
+        c.recorder.muted = False
+        c.recorder.lose_connections()
+        thread.join(10)
+        self.assertTrue([line for line in c.log_of(c.agents[0]).splitlines()
+                         if "event=entry-joined" in line][1:])
+        self.assertEqual(c.rule_violations(), [])
+
     # Guards against memory that is held for joins whose senders are gone, but
     # whose connections stay open.
     def test_joins_that_are_never_confirmed_are_dropped(self):
