--- a/tests/unit/runner_harness.c
+++ b/tests/unit/runner_harness.c
@@ -1,5 +1,7 @@
 #include "runner_harness.h"
 
+#include <stdlib.h>
+#include <string.h>
 #include <talloc.h>
 
 #include "runner_parts.h"
@@ -18,6 +20,7 @@
 
 struct rnt_harness
 {
+  void *mem_ctx;
   struct rnr_runner runner;
   struct poll poll;
   uint64_t reports;
@@ -54,8 +57,11 @@
 struct rnt_harness *
 rnt_new (uint64_t lease_max_ms)
 {
-  struct rnt_harness *h = xtalloc_zero (NULL, struct rnt_harness);
-  struct tevent_context *ev = xtalloc_check (tevent_context_init (h));
+  /* Counters have a cache line each, talloc does not align to that.  */
+  struct rnt_harness *h = xtalloc_check (
+      aligned_alloc (_Alignof(struct rnt_harness), sizeof *h));
+  void *mem_ctx = talloc_new (NULL);
+  struct tevent_context *ev = xtalloc_check (tevent_context_init (mem_ctx));
   struct rnr_settings settings = { .name = "agent",
                                    .domain = "d",
                                    .service = "s",
@@ -65,7 +71,9 @@
                                    .warmup_burst = 5,
                                    .report_max_age_ms = REPORT_MAX_AGE_MS };
 
-  if (rnr_init (&h->runner, h, ev, &settings, &ops, h) != 0)
+  memset (h, 0, sizeof *h);
+  h->mem_ctx = mem_ctx;
+  if (rnr_init (&h->runner, mem_ctx, ev, &settings, &ops, h) != 0)
     xtalloc_check (NULL);
   return h;
 }
@@ -74,7 +82,8 @@
 rnt_free (struct rnt_harness *h)
 {
   rnr_finish (&h->runner);
-  talloc_free (h);
+  talloc_free (h->mem_ctx);
+  free (h);
 }
 
 void
