Tests: the recorder of joins shuts connections down in one place

The same loop stood twice in test_late_messages.py, as connections are lost and as a copy ends. Only the loop moved: no bound, check or expectation has changed.

--- a/tests/process/test_late_messages.py
+++ b/tests/process/test_late_messages.py
@@ -33,6 +33,14 @@
     return host, int(port)
 
 
+def shut_down(sockets):
+    for s in sockets:
+        try:
+            s.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+
 class JoinRecorder:
     """Forwards connections of runners to a dispatcher, and keeps the first
     message on each, which is a join.  It can refuse the connections of agent-0,
@@ -77,11 +85,7 @@
         self.copy(near, far, troubled, answered)
 
     def lose_connections(self):
-        for s in self.open:
-            try:
-                s.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
+        shut_down(self.open)
         self.open = []
 
     def read_join(self, near):
@@ -110,11 +114,7 @@
                 answered.set()
         except OSError:
             pass
-        for s in (source, sink):
-            try:
-                s.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass
+        shut_down((source, sink))
 
     def joins_of(self, name):
         return [j for j in self.joins if name.encode() in j]
