Cancels: acknowledged only if they count at every dispatcher

Cause: dsp_cancel() answered before any other dispatcher knew; the cancel was sent at the next tick, without a reply, to those that answered. Class: an acknowledgement of what only this process knows; a dispatcher killed within 25 ms of its answer lost the cancel as well.

Change: an acknowledgement waits for the replies of all dispatchers that answer. If one is missed, or late by 300 ms, the cancel is also written to a log in the platform's store, which a dispatcher reads while it misses another one (one that does not answer, does not call, or was forgotten lately). If neither can be had: 503. In passing, the comment of a test that stood above another one is back in place.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -30,6 +30,13 @@
   { "lagoonvale_cancels_total", "requests to cancel a job", false },
   { "lagoonvale_cancels_told_total",
     "open jobs that were cancelled at another entry", false },
+  { "lagoonvale_cancels_logged_total",
+    "requests to cancel a job that were written to the store", false },
+  { "lagoonvale_cancels_read_total", "cancels read from the store", false },
+  { "lagoonvale_cancels_unconfirmed_total",
+    "requests to cancel a job that were not confirmed", false },
+  { "lagoonvale_entries_missed", "whether another entry does not answer",
+    true },
   { "lagoonvale_orders_total", "task starts ordered", false },
   { "lagoonvale_tasks_done_total", "runs ended well", false },
   { "lagoonvale_tasks_again_total", "runs that ended otherwise", false },
@@ -102,7 +109,7 @@
       dsp_on_loss (d, conn, args);
       break;
     case LVP_CANCEL:
-      dsp_on_cancel (d, conn, args);
+      dsp_on_cancel (d, conn, xid, args);
       break;
     case LVP_PEER:
       per_on_peer (&d->peers, conn, xid, args, clk_boot ());
@@ -244,7 +251,7 @@
   dsp_expire_jobs (d, clk_boot ());
   dsp_requeue_lapsed (d, now);
   abd_expire (&d->abandoned, now);
-  dsp_send_cancels (d);
+  dsp_send_cancels (d, now);
   cnl_expire (&d->cancels, now);
   flt_forget_expired (&d->fleet, now);
   crl_expire (&d->crashes, clk_boot ());
@@ -254,6 +261,7 @@
   log_load (d, now);
   ctr_set_gauge (&d->counters, DSP_AGENTS, d->fleet.count);
   ctr_set_gauge (&d->counters, DSP_AGENTS_JOINED, count_accepting (d));
+  ctr_set_gauge (&d->counters, DSP_PEERS_MISSED, dsp_misses_entries (d));
   ctr_set_gauge (&d->counters, DSP_OPEN_JOBS, HASH_COUNT (d->jobs.jobs));
   ctr_set_gauge (&d->counters, DSP_ABANDONED_RUNS,
                  HASH_COUNT (d->abandoned.runs));
@@ -362,6 +370,7 @@
 {
   jtb_finish (&d->jobs);
   abd_finish (&d->abandoned);
+  dsp_finish_cancels (d);
   cnl_finish (&d->cancels);
   pjn_finish (&d->joins);
   flt_finish (&d->fleet);
@@ -449,6 +458,12 @@
   ctr_set_gauge (&d->counters, DSP_CLIENTS_DROPPED, clients->dropped);
 }
 
+bool
+dsp_misses_entries (const struct dsp_dispatch *d)
+{
+  return per_misses_any (&d->peers, clk_boot ());
+}
+
 bool
 dsp_reads_config (const struct dsp_dispatch *d)
 {
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -15,6 +15,7 @@
 #include <gsl/gsl_rng.h>
 #include <tevent.h>
 
+#include "cancelbatch.h"
 #include "fleet.h"
 #include "lagoonvale/abandoned.h"
 #include "lagoonvale/backlog.h"
@@ -105,6 +106,10 @@
   DSP_JOBS_CANCELLED,
   DSP_CANCELS,
   DSP_CANCELS_TOLD,
+  DSP_CANCELS_LOGGED,
+  DSP_CANCELS_READ,
+  DSP_CANCELS_UNCONFIRMED,
+  DSP_PEERS_MISSED,
   DSP_ORDERS,
   DSP_TASKS_DONE,
   DSP_TASKS_AGAIN,
@@ -144,6 +149,19 @@
 };
 
 struct dsp_waiter;
+struct dsp_cancel_batch;
+
+/**
+ * struct dsp_cancel_log - the log that all entries share
+ * @append: append @ids, which are borrowed; @done is called once, later
+ */
+struct dsp_cancel_log
+{
+  void (*append) (const char *const *ids, unsigned count,
+                  void (*done) (bool ok, void *priv), void *done_priv,
+                  void *priv);
+  void *priv;
+};
 
 /** struct dsp_dispatch - caller-owned */
 struct dsp_dispatch
@@ -156,7 +174,10 @@
   struct jtb_table jobs;
   struct abd_runs abandoned;
   struct cnl_cancels cancels;
-  unsigned unsent_cancels;    /* newest of these that peers are not told of */
+  struct dsp_cancel_batch *unsent;  /* cancels to be sent soon */
+  struct dsp_cancel_batch *batches; /* that are sent and not done */
+  uint64_t batch_sent_ns;
+  struct dsp_cancel_log cancel_log;
   struct bkl_backlog backlog; /* late jobs without any order */
   struct flt_fleet fleet;
   struct pjn_list joins;        /* not confirmed yet */
@@ -262,10 +283,25 @@
 /**
  * dsp_cancel() - cancel the job @id, here and at all entries, and its
  * submission if that arrives later
+ * @call: told later whether the cancel counts at every entry; valid until then
+ * or until cbt_leave()
  *
  * Return: whether it was open here.  Its caller is answered.
  */
-bool dsp_cancel (struct dsp_dispatch *d, struct lv_slice id);
+bool dsp_cancel (struct dsp_dispatch *d, struct lv_slice id,
+                 struct cbt_call *call);
+
+/** dsp_set_cancel_log() - set the log for cancels that not every entry can be
+ * told of; without one these are never confirmed. */
+void dsp_set_cancel_log (struct dsp_dispatch *d,
+                         const struct dsp_cancel_log *log);
+
+/** dsp_misses_entries() - whether the log of cancels has to be read, since
+ * another entry may be unable to tell this one. */
+bool dsp_misses_entries (const struct dsp_dispatch *d);
+
+/** dsp_on_logged_cancel() - the log holds a cancel of the job @id. */
+void dsp_on_logged_cancel (struct dsp_dispatch *d, struct lv_slice id);
 
 /** dsp_count_pending() - jobs of @queue without any order. */
 unsigned dsp_count_pending (const struct dsp_dispatch *d,
--- a/src/dispatch_cancel.c
+++ b/src/dispatch_cancel.c
@@ -1,54 +1,167 @@
 #include "dispatch_parts.h"
 
 #include <errno.h>
+#include <talloc.h>
+#include <utlist.h>
 
 #include "logline.h"
 #include "wire.h"
+#include "xtalloc.h"
+
+/* Least time between two batches that are not full, ns.  */
+#define BATCH_INTERVAL_NS (25 * CLK_MS)
+
+/** struct dsp_cancel_batch - a batch of an entry */
+struct dsp_cancel_batch
+{
+  struct dsp_dispatch *dispatch;
+  struct cbt_batch batch;
+  struct dsp_cancel_batch *prev;
+  struct dsp_cancel_batch *next;
+};
+
+static struct dsp_cancel_batch *
+new_batch (struct dsp_dispatch *d)
+{
+  struct dsp_cancel_batch *b
+      = xtalloc_zero (d->mem_ctx, struct dsp_cancel_batch);
+
+  b->dispatch = d;
+  cbt_init (&b->batch, b);
+  return b;
+}
 
-/* Send the cancels from FIRST on to the entry at CONN, or to all entries if
-   that is NULL, in messages of at most LVP_CANCELS_MAX.  */
 static void
-send_from (struct dsp_dispatch *d, const struct cnl_cancel *first,
-           struct onc_conn *conn)
+free_batch (struct dsp_cancel_batch *b)
 {
-  const struct cnl_cancel *cancel;
-  lvp_name ids[LVP_CANCELS_MAX];
-  lvp_cancels message = { .ids = { 0, ids } };
+  cbt_finish (&b->batch);
+  talloc_free (b);
+}
+
+static void step (struct dsp_cancel_batch *b, uint64_t now_ns);
+
+static void
+logged (bool ok, void *priv)
+{
+  struct dsp_cancel_batch *b = priv;
 
-  for (cancel = first; cancel != NULL; cancel = cancel->next)
+  if (!ok)
     {
-      ids[message.ids.ids_len++] = cancel->id;
-      if (message.ids.ids_len < LVP_CANCELS_MAX && cancel->next != NULL)
-        continue;
-      if (conn != NULL)
-        onc_call (conn, LVP_CANCEL, (xdrproc_t)xdr_lvp_cancels, &message, NULL,
-                  NULL);
-      else
-        per_call_all (&d->peers, LVP_CANCEL, (xdrproc_t)xdr_lvp_cancels,
-                      &message);
-      message.ids.ids_len = 0;
+      log_line (LOGL_WARN, "cancels-unconfirmed", "jobs=%u unreplied=%u",
+                b->batch.count, b->batch.unreplied);
+      ctr_add (&b->dispatch->counters, DSP_CANCELS_UNCONFIRMED,
+               b->batch.count);
     }
+  cbt_logged (&b->batch, ok);
+  step (b, clk_boot ());
+}
+
+static void
+write_to_log (struct dsp_cancel_batch *b)
+{
+  const struct dsp_cancel_log *log = &b->dispatch->cancel_log;
+
+  if (log->append == NULL)
+    {
+      logged (false, b);
+      return;
+    }
+  log_line (LOGL_INFO, "cancels-logged", "jobs=%u unreplied=%u",
+            b->batch.count, b->batch.unreplied);
+  ctr_add (&b->dispatch->counters, DSP_CANCELS_LOGGED, b->batch.count);
+  log->append ((const char *const *)b->batch.ids, b->batch.count, logged, b,
+               log->priv);
+}
+
+static void
+step (struct dsp_cancel_batch *b, uint64_t now_ns)
+{
+  switch (cbt_step (&b->batch, now_ns))
+    {
+    case CBT_WAIT:
+      break;
+    case CBT_WRITE:
+      write_to_log (b);
+      break;
+    case CBT_DONE:
+      DL_DELETE (b->dispatch->batches, b);
+      free_batch (b);
+      break;
+    }
+}
+
+static void
+replied (struct onc_conn *conn, int err, XDR *res, void *priv)
+{
+  struct dsp_cancel_batch *b = priv;
+
+  (void)conn;
+  (void)res;
+  cbt_replied (&b->batch, err == 0);
+  step (b, clk_boot ());
+}
+
+/* Send the batch that is being filled to all entries that answer.  */
+static void
+send_unsent (struct dsp_dispatch *d, uint64_t now_ns)
+{
+  struct dsp_cancel_batch *b = d->unsent;
+  lvp_cancels message = { .ids = { b->batch.count, b->batch.ids } };
+  bool missed = per_misses_any (&d->peers, now_ns);
+  unsigned entries;
+
+  d->unsent = NULL;
+  d->batch_sent_ns = now_ns;
+  DL_APPEND (d->batches, b);
+  entries = per_call_all (&d->peers, LVP_CANCEL, (xdrproc_t)xdr_lvp_cancels,
+                          &message, replied, b);
+  cbt_sent (&b->batch, entries, missed, now_ns);
 }
 
 void
-dsp_send_cancels (struct dsp_dispatch *d)
-{
-  const struct cnl_cancel *oldest = d->cancels.list;
-  const struct cnl_cancel *first;
-
-  if (oldest == NULL || d->unsent_cancels == 0)
-    return;
-  /* In this list, the one before the head is the newest.  */
-  for (first = oldest->prev; --d->unsent_cancels > 0 && first != oldest;)
-    first = first->prev;
-  d->unsent_cancels = 0;
-  send_from (d, first, NULL);
+dsp_send_cancels (struct dsp_dispatch *d, uint64_t now_ns)
+{
+  struct dsp_cancel_batch *b;
+  struct dsp_cancel_batch *next;
+
+  if (d->unsent != NULL)
+    send_unsent (d, now_ns);
+  DL_FOREACH_SAFE (d->batches, b, next)
+  step (b, now_ns);
+}
+
+void
+dsp_finish_cancels (struct dsp_dispatch *d)
+{
+  struct dsp_cancel_batch *b;
+
+  if (d->unsent != NULL)
+    free_batch (d->unsent);
+  while ((b = d->batches) != NULL)
+    {
+      DL_DELETE (d->batches, b);
+      free_batch (b);
+    }
 }
 
+/* Who waits for these cancels has been told of the log meanwhile: the replies
+   are of no use.  */
 void
 dsp_send_all_cancels (struct dsp_dispatch *d, struct onc_conn *conn)
 {
-  send_from (d, d->cancels.list, conn);
+  const struct cnl_cancel *cancel;
+  lvp_name ids[LVP_CANCELS_MAX];
+  lvp_cancels message = { .ids = { 0, ids } };
+
+  DL_FOREACH (d->cancels.list, cancel)
+  {
+    ids[message.ids.ids_len++] = cancel->id;
+    if (message.ids.ids_len < LVP_CANCELS_MAX && cancel->next != NULL)
+      continue;
+    onc_call (conn, LVP_CANCEL, (xdrproc_t)xdr_lvp_cancels, &message, NULL,
+              NULL);
+    message.ids.ids_len = 0;
+  }
 }
 
 /* Answer the caller of a job that is cancelled, and stop its runs.  */
@@ -66,19 +179,40 @@
   return true;
 }
 
+void
+dsp_set_cancel_log (struct dsp_dispatch *d, const struct dsp_cancel_log *log)
+{
+  d->cancel_log = *log;
+}
+
 bool
-dsp_cancel (struct dsp_dispatch *d, struct lv_slice id)
+dsp_cancel (struct dsp_dispatch *d, struct lv_slice id, struct cbt_call *call)
 {
   bool open = cancel_open_job (d, id, "caller");
+  uint64_t now_ns = clk_boot ();
 
-  if (cnl_add (&d->cancels, id, clk_boot ()))
-    d->unsent_cancels++;
+  cnl_add (&d->cancels, id, now_ns);
   ctr_add (&d->counters, DSP_CANCELS, 1);
+  if (d->unsent == NULL)
+    d->unsent = new_batch (d);
+  cbt_add (&d->unsent->batch, id, call);
+  if (cbt_is_full (&d->unsent->batch)
+      || clk_since (now_ns, d->batch_sent_ns) >= BATCH_INTERVAL_NS)
+    send_unsent (d, now_ns);
   return open;
 }
 
 void
-dsp_on_cancel (struct dsp_dispatch *d, struct onc_conn *conn, XDR *args)
+dsp_on_logged_cancel (struct dsp_dispatch *d, struct lv_slice id)
+{
+  cnl_add (&d->cancels, id, clk_boot ());
+  ctr_add (&d->counters, DSP_CANCELS_READ, 1);
+  cancel_open_job (d, id, "store");
+}
+
+void
+dsp_on_cancel (struct dsp_dispatch *d, struct onc_conn *conn, uint32_t xid,
+               XDR *args)
 {
   lvp_cancels in;
   u_int i;
@@ -97,4 +231,5 @@
         ctr_add (&d->counters, DSP_CANCELS_TOLD, 1);
     }
   WIR_FREE (lvp_cancels, &in);
+  onc_reply (conn, xid, (xdrproc_t)(void *)xdr_void, NULL);
 }
--- a/src/dispatch_parts.h
+++ b/src/dispatch_parts.h
@@ -145,13 +145,17 @@
 
 /* dispatch_cancel.c */
 
-/** dsp_send_cancels() - tell all other entries of new cancels. */
-void dsp_send_cancels (struct dsp_dispatch *d);
+/** dsp_send_cancels() - tell all other entries of new cancels, and answer the
+ * callers of those that are confirmed, or cannot be. */
+void dsp_send_cancels (struct dsp_dispatch *d, uint64_t now_ns);
+/** dsp_finish_cancels() - free what is not done. */
+void dsp_finish_cancels (struct dsp_dispatch *d);
 /** dsp_send_all_cancels() - tell the entry at @conn, which answers again, of
  * all cancels that are kept. */
 void dsp_send_all_cancels (struct dsp_dispatch *d, struct onc_conn *conn);
-/** dsp_on_cancel() - handle the notice of another entry. */
-void dsp_on_cancel (struct dsp_dispatch *d, struct onc_conn *conn, XDR *args);
+/** dsp_on_cancel() - handle and answer the notice of another entry. */
+void dsp_on_cancel (struct dsp_dispatch *d, struct onc_conn *conn,
+                    uint32_t xid, XDR *args);
 
 /* dispatch_jobs.c */
 
--- a/src/peers.c
+++ b/src/peers.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "clock.h"
+#include "lagoonvale/directory.h"
 #include "logline.h"
 #include "net.h"
 #include "wire.h"
@@ -31,6 +32,12 @@
 #define FULL_LIST_INTERVAL_NS (5 * CLK_S)
 /* A peer that has not answered for this long is not listed to others, ns.  */
 #define LISTED_NS (2 * CLK_S)
+/* A peer that has not called for this long is missed: an exchange, and its
+   timeout, ns.  */
+#define CALLED_MAX_NS (EXCHANGE_INTERVAL_NS + EXCHANGE_TIMEOUT_NS)
+/* Time for which a peer that was forgotten is missed: until the directory has
+   been read once more, ns.  */
+#define FORGOTTEN_NS (DIR_REFRESH_NS + CLK_S)
 
 int
 per_init (struct per_peers *p, void *mem_ctx, struct tevent_context *ev,
@@ -73,6 +80,7 @@
   peer->peers = p;
   peer->endpoint = *at;
   peer->alive_ns = now_ns;
+  peer->called_ns = now_ns;
   net_format (at->addr, at->port, peer->address);
   DL_APPEND (p->peers, peer);
   p->count++;
@@ -201,15 +209,32 @@
     peer->peers->events.up (conn, peer->peers->events.priv);
 }
 
-void
+unsigned
 per_call_all (const struct per_peers *p, uint32_t proc, xdrproc_t encode,
-              void *args)
+              void *args, onc_reply_fn reply, void *priv)
 {
   const struct per_peer *peer;
+  unsigned calls = 0;
 
   DL_FOREACH (p->peers, peer)
-  if (peer->answered_ns != 0)
-    onc_call (peer->conn, proc, encode, args, NULL, NULL);
+  if (peer->answered_ns != 0
+      && onc_call (peer->conn, proc, encode, args, reply, priv) == 0)
+    calls++;
+  return calls;
+}
+
+bool
+per_misses_any (const struct per_peers *p, uint64_t now_ns)
+{
+  const struct per_peer *peer;
+
+  if (p->forgot_ns != 0 && clk_since (now_ns, p->forgot_ns) < FORGOTTEN_NS)
+    return true;
+  DL_FOREACH (p->peers, peer)
+  if (peer->answered_ns == 0
+      || clk_since (now_ns, peer->called_ns) > CALLED_MAX_NS)
+    return true;
+  return false;
 }
 
 static void
@@ -321,6 +346,7 @@
     log_line (LOGL_INFO, "peer-gone", "peer=%s", peer->address);
     DL_DELETE (p->peers, peer);
     p->count--;
+    p->forgot_ns = now_ns;
     talloc_free (peer);
   }
   per_tick_fetch (p, now_ns);
@@ -331,6 +357,7 @@
              XDR *args, uint64_t now_ns)
 {
   lvp_endpoint buf[PER_MAX];
+  struct per_peer *caller;
   u_quad_t known;
   lvp_peer in;
   lvp_peer out;
@@ -341,6 +368,9 @@
       return;
     }
   apply_exchange (p, &in, now_ns);
+  caller = find_peer (p, &in.self);
+  if (caller != NULL)
+    caller->called_ns = now_ns;
   known = in.known;
   WIR_FREE (lvp_peer, &in);
   out = make_exchange (p, now_ns, buf, known);
--- a/src/peers.h
+++ b/src/peers.h
@@ -65,6 +65,7 @@
   uint64_t incarnation;
   struct per_peer *peers;
   unsigned count;
+  uint64_t forgot_ns; /* when a peer was last forgotten, 0: never */
   struct per_fetch fetch;
   struct pac_pacer pacer; /* of the pages sent to peers */
   bool reading; /* set by the owner: a newer one is arriving from the store */
@@ -105,10 +106,19 @@
                         lvp_endpoint buf[PER_MAX], u_quad_t known,
                         u_quad_t *digest);
 
-/** per_call_all() - call @proc with @args at all peers that answer, without a
- * reply. */
-void per_call_all (const struct per_peers *p, uint32_t proc, xdrproc_t encode,
-                   void *args);
+/**
+ * per_call_all() - call @proc with @args at all peers that answer
+ * @reply: called once for each of these calls, later
+ *
+ * Return: the number of calls.
+ */
+unsigned per_call_all (const struct per_peers *p, uint32_t proc,
+                       xdrproc_t encode, void *args, onc_reply_fn reply,
+                       void *priv);
+
+/** per_misses_any() - whether a peer does not answer or does not call, or was
+ * forgotten so lately that the directory may still list it. */
+bool per_misses_any (const struct per_peers *p, uint64_t now_ns);
 
 /** per_on_peer() - handle and answer the exchange call of a peer. */
 void per_on_peer (struct per_peers *p, struct onc_conn *conn, uint32_t xid,
--- a/src/peers_parts.h
+++ b/src/peers_parts.h
@@ -22,6 +22,7 @@
   struct onc_conn *conn;
   uint64_t alive_ns;    /* when added or last answering */
   uint64_t answered_ns; /* last answered exchange, 0: not connected */
+  uint64_t called_ns;   /* when added or last calling */
   uint64_t sent_ns;
   uint64_t dialed_ns;
   uint64_t full_list_ns;    /* when the whole list was last sent */
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -3,7 +3,7 @@
 
 platform_store.py ADDRESS
 
-Each append call adds one record to a keyed topic.  For tests, POST
+Each append call adds one record, to a keyed topic with its key.  For tests, POST
 /test/put?key=K with a value appends a record to keyed.op, and POST
 /test/mode?mode=M sets the result of calls: "ok", "busy" (503), "silent" (no
 answer), "cut" (reads are truncated), "gone" (reads get 410), "late" (appends
@@ -54,7 +54,8 @@
                 pass
         out = struct.pack(">QQ", len(records), 0)
         for key, value in records[start:]:
-            content = bytes([len(key)]) + key.encode() + value
+            prefix = b"" if key is None else bytes([len(key)]) + key.encode()
+            content = prefix + value
             out += struct.pack(">I", len(content)) + content
         return out
 
@@ -84,18 +85,24 @@
         fault = await self.apply_fault(path)
         if fault is not None:
             return fault
+        keyed = args.get("topic", "").startswith("keyed.")
         if path == "/log-append":
             (length,) = struct.unpack(">I", body[:4])
-            if length != len(body) - 4 or body[4] >= length:
+            if length != len(body) - 4 or (keyed and body[4] >= length):
                 return 400, {}
-            key = body[5:5 + body[4]].decode()
             if self.mode == "late":
                 await asyncio.sleep(LATE_S)
-            await self.put(args["topic"], key, body[5 + body[4]:])
+            if keyed:
+                await self.put(args["topic"], body[5:5 + body[4]].decode(),
+                               body[5 + body[4]:])
+            else:
+                await self.put(args["topic"], None, body[4:])
             return 200, {"offset": len(self.records[args["topic"]]) - 1}
         if path == "/log-newest":
             return 200, self.newest(args["topic"])
         if path == "/log-read":
+            if not keyed and args["topic"] not in self.records:
+                return 404, {}
             out = await self.read(args["topic"], int(args["from"]),
                                   int(args.get("wait_ms", 0)))
             return 200, out[:len(out) // 2] if self.mode == "cut" else out
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -156,8 +156,6 @@
                                   and e["task"].startswith(name)], [])
         self.check_rules(c)
 
-    # Guards against a cancel that overtakes the job, or its repetition through
-    # another entry, and against odd ones that do harm.
     # Guards against a job that cannot be cancelled once its queue is gone: its
     # tasks started on (review/15).
     def test_a_job_whose_queue_is_dropped_can_be_cancelled(self):
@@ -192,6 +190,8 @@
                     self.assertIn(delete(path), (400, 404), path)
                 self.check_rules(c)
 
+    # Guards against a cancel that overtakes the job, or its repetition through
+    # another entry, and against odd ones that do harm.
     def test_a_job_that_was_cancelled_before_does_not_run(self):
         c = self.ready()
         name = os.urandom(8).hex()
