--- a/src/dispatch_cancel.c
+++ b/src/dispatch_cancel.c
@@ -107,14 +107,15 @@
 {
   struct dsp_cancel_batch *b = d->unsent;
   lvp_cancels message = { .ids = { b->batch.count, b->batch.ids } };
-  bool missed = per_misses_any (&d->peers, now_ns);
   unsigned entries;
+  bool missed;
 
   d->unsent = NULL;
   d->batch_sent_ns = now_ns;
   DL_APPEND (d->batches, b);
-  entries = per_call_all (&d->peers, LVP_CANCEL, (xdrproc_t)xdr_lvp_cancels,
-                          &message, replied, b);
+  missed = !per_call_all (&d->peers, LVP_CANCEL, (xdrproc_t)xdr_lvp_cancels,
+                          &message, replied, b, &entries)
+           || per_misses_any (&d->peers, now_ns);
   cbt_sent (&b->batch, entries, missed, now_ns);
 }
 
--- a/src/peers.c
+++ b/src/peers.c
@@ -209,18 +209,18 @@
     peer->peers->events.up (conn, peer->peers->events.priv);
 }
 
-unsigned
+bool
 per_call_all (const struct per_peers *p, uint32_t proc, xdrproc_t encode,
-              void *args, onc_reply_fn reply, void *priv)
+              void *args, onc_reply_fn reply, void *priv, unsigned *calls)
 {
   const struct per_peer *peer;
-  unsigned calls = 0;
 
+  *calls = 0;
   DL_FOREACH (p->peers, peer)
   if (peer->answered_ns != 0
       && onc_call (peer->conn, proc, encode, args, reply, priv) == 0)
-    calls++;
-  return calls;
+    ++*calls;
+  return *calls == p->count;
 }
 
 bool
--- a/src/peers.h
+++ b/src/peers.h
@@ -109,12 +109,13 @@
 /**
  * per_call_all() - call @proc with @args at all peers that answer
  * @reply: called once for each of these calls, later
+ * @calls: set to their number
  *
- * Return: the number of calls.
+ * Return: whether these are all peers.
  */
-unsigned per_call_all (const struct per_peers *p, uint32_t proc,
-                       xdrproc_t encode, void *args, onc_reply_fn reply,
-                       void *priv);
+bool per_call_all (const struct per_peers *p, uint32_t proc, xdrproc_t encode,
+                   void *args, onc_reply_fn reply, void *priv,
+                   unsigned *calls);
 
 /** per_misses_any() - whether a peer does not answer or does not call, or was
  * forgotten so lately that the directory may still list it. */
