Cancels: odd records in the log do no harm

Found by a new test under ASan: a record of the log of cancels with a NUL in an id was copied up to the NUL, and hashed with its whole length (heap overflow in cnl_add(), the process ended). No dispatcher writes such a record; the topic is one of the store, so that others might.

Cause: cnl_add() took ids from messages only, which hold no NUL; the log is the first source that can.

--- a/include/lagoonvale/cancels.h
+++ b/include/lagoonvale/cancels.h
@@ -49,7 +49,8 @@
 /** cnl_finish() - free all ids. */
 void cnl_finish (struct cnl_cancels *c);
 
-/** cnl_add() - add an id. Return: whether it is new, and not too long. */
+/** cnl_add() - add an id. Return: whether it is new, not too long, and without
+ * a NUL. */
 bool cnl_add (struct cnl_cancels *c, struct lv_slice id, uint64_t now_ns);
 
 /** cnl_contains() - whether @id was cancelled. */
--- a/src/cancels.c
+++ b/src/cancels.c
@@ -50,7 +50,8 @@
 {
   struct cnl_cancel *cancel;
 
-  if (id.len == 0 || id.len > CNL_ID_MAX || cnl_contains (c, id))
+  if (id.len == 0 || id.len > CNL_ID_MAX
+      || memchr (id.data, '\0', id.len) != NULL || cnl_contains (c, id))
     return false;
   if (HASH_COUNT (c->by_id) >= CNL_MAX)
     drop (c, c->list);
--- a/tests/process/test_cancels.py
+++ b/tests/process/test_cancels.py
@@ -2,6 +2,7 @@
 some cannot reach each other, the one that took the cancel is killed."""
 import os
 import socket
+import struct
 import threading
 import time
 import unittest
@@ -20,6 +21,8 @@
 CANCEL_S = 3.0
 # Time for an entry to notice a cut, less than that after which it forgets.
 NOTICED_S = 1.5
+# Records of the log that no entry has written.
+ODD_RECORDS = (b"", b"x", b"\n\n", b"y" * 5000 + b"\n", bytes(range(256)))
 FLOOD = 1000
 FLOOD_THREADS = 25
 
@@ -131,8 +134,8 @@
                     c.metric(e, "lagoonvale_entries_missed") == 0
                     for e in c.entries)))
 
-    # Guards against an acknowledgement that nobody can keep: the store is away
-    # as well.
+    # Guards against an acknowledgement that nobody can keep, as the store is away
+    # as well, and against odd records in the log that stop its readers.
     def test_a_cancel_that_is_not_confirmed_is_not_acknowledged(self):
         c = self.cluster()
         name, answers = self.start_job(c)
@@ -143,6 +146,11 @@
         self.assertEqual(c.metric(c.entries[1],
                                   "lagoonvale_cancels_unconfirmed_total"), 1)
         c.set_mode(c.store, mode="ok")
+        for record in ODD_RECORDS:
+            status, _ = http("POST", "http://%s/log-append?topic=%s&part=0" % (
+                c.store.address, "lagoonvale-cancels"),
+                struct.pack(">I", len(record)) + record)
+            self.assertEqual(status, 200)
         self.assertEqual(self.delete(c, 1, name), 410)
         self.check_cancelled(c, name, answers, time.monotonic())
 
--- a/tests/unit/cancels_test.cc
+++ b/tests/unit/cancels_test.cc
@@ -52,6 +52,7 @@
     { "", false },
     { std::string (CNL_ID_MAX, 'x'), true },
     { std::string (CNL_ID_MAX + 1, 'x'), false },
+    { std::string ("f\0f", 3), false },
     { "ffffffffffffffff.0.0", true },
   };
 
