Stand-ins: a connection that is accepted during an outage is ended

Cause: when asyncio's server (Python 3.11) is closed while the accept of a connection is under way, Server._attach() raises an AssertionError, which is swallowed outside of debug mode; the connection is neither served nor closed. The stand-in of a crashed minion closes its server while callers connect.

Ruled out: a delay under load (the answer never comes), the product (not part of the trial).

Change: the stand-in stops accepting, lets what is under way end, then closes, and ends connections that come in meanwhile. As strict: nothing is checked less, no time-out has changed.

--- a/standins/httpd.py
+++ b/standins/httpd.py
@@ -28,17 +28,29 @@
                 self.serve_connection, host, int(port), backlog=512)
             async with server:
                 await self.outage.wait()
+                await self.stop_accepting(server)
             for writer in self.writers:
                 writer.transport.abort()
             await asyncio.sleep(self.outage_s)
             self.outage.clear()
 
+    @staticmethod
+    async def stop_accepting(server):
+        """asyncio (3.11) neither serves nor closes a connection whose accept is
+        under way when its server is closed."""
+        for listening in server.sockets:
+            asyncio.get_running_loop().remove_reader(listening.fileno())
+        await asyncio.sleep(0)
+
     def close_for(self, seconds):
         """Resets all connections and refuses new ones for some time."""
         self.outage_s = seconds
         self.outage.set()
 
     async def serve_connection(self, reader, writer):
+        if self.outage.is_set():
+            writer.transport.abort()
+            return
         self.writers.add(writer)
         try:
             while await self.serve_request(reader, writer):
