Tests: one proxy under the recorder of joins and the cut between entries

Change: tcp_proxy.Proxy holds the listener and the loop, parse() and shut_down(); both derive from it. The docstring of PeerCut says what it does: it discards. Assertions, bounds and what is forwarded are as before.

--- a/tests/process/test_cancels.py
+++ b/tests/process/test_cancels.py
@@ -9,7 +9,7 @@
 
 from cluster import http, wait_until
 from platform_cluster import HOST, PlatformCluster, job
-from test_late_messages import parse, shut_down
+from tcp_proxy import Proxy, shut_down
 
 # The header of an RPC call, up to its procedure; that of the exchange between
 # entries.
@@ -27,23 +27,15 @@
 FLOOD_THREADS = 25
 
 
-class PeerCut:
-    """Forwards connections to an entry.  While it cuts, it holds back all that
+class PeerCut(Proxy):
+    """Forwards connections to an entry.  While it cuts, it discards all that
     arrives on connections of other entries, silently, on new ones as well."""
 
     def __init__(self, listen, target):
-        self.target, self.cut = parse(target), False
-        self.held = []
-        self.socket = socket.create_server(parse(listen))
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            near, _ = self.socket.accept()
-            threading.Thread(target=self.connect, args=(near,),
-                             daemon=True).start()
-
-    def connect(self, near):
+        self.cut = False
+        super().__init__(listen, target)
+
+    def serve(self, near):
         try:
             head = near.recv(HEADER_BYTES, socket.MSG_WAITALL)
             far = socket.create_connection(self.target)
--- a/tests/process/test_late_messages.py
+++ b/tests/process/test_late_messages.py
@@ -8,6 +8,7 @@
 
 from cluster import wait_until
 from platform_cluster import PlatformCluster, job
+from tcp_proxy import Proxy, shut_down
 
 MARK_BYTES = 4
 LAST_FRAGMENT = 0x80000000
@@ -28,39 +29,16 @@
 MUTED_S = 2.0
 
 
-def parse(address):
-    host, port = address.split(":")
-    return host, int(port)
-
-
-def shut_down(sockets):
-    for s in sockets:
-        try:
-            s.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass
-
-
-class JoinRecorder:
+class JoinRecorder(Proxy):
     """Forwards connections of runners to a dispatcher, and keeps the first
     message on each, which is a join.  It can refuse the connections of agent-0,
     lose those that are open, and mute them: they carry a join and its answer
     then, and no more."""
 
     def __init__(self, listen, target):
-        self.target, self.joins = parse(target), []
-        self.open, self.refuse, self.muted = [], False, False
-        self.socket = socket.create_server(parse(listen))
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            try:
-                near, _ = self.socket.accept()
-            except OSError:
-                return
-            threading.Thread(target=self.serve, args=(near,),
-                             daemon=True).start()
+        self.joins, self.open = [], []
+        self.refuse, self.muted = False, False
+        super().__init__(listen, target)
 
     def serve(self, near):
         try:
@@ -129,9 +107,6 @@
             answered = bool(s.recv(1))
         return answered
 
-    def close(self):
-        self.socket.close()
-
 
 class RecordedCluster(PlatformCluster):
     """Runners reach the dispatcher through a JoinRecorder."""
